--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,153 @@
+#include "app/settings.hpp"
+
+#include <toml++/toml.h>
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <charconv>
+#include <set>
+
+namespace wellstair::app {
+namespace {
+
+class Reader {
+  public:
+    Reader(std::string file, const toml::table& root) : file_(std::move(file)), root_(root) {}
+
+    [[noreturn]] void fail(const std::string& field, const std::string& expected) const {
+        throw SettingsError(file_ + ": " + field + ": expected " + expected);
+    }
+
+    std::string text(const toml::table& t, const std::string& where, const char* key) const {
+        auto v = t[key].value_exact<std::string>();
+        if (!v || v->empty()) fail(where + key, "a text that is not empty");
+        return *v;
+    }
+
+    double number(const toml::table& t, const std::string& where, const char* key, double least, bool open) const {
+        auto node = t[key];
+        if (!node.is_number()) fail(where + key, open ? "a number above 0" : "a number of at least 0");
+        double v = *node.value<double>();
+        if (!(open ? v > least : v >= least) || !(v < 1e12))
+            fail(where + key, open ? "a number above 0" : "a number of at least 0");
+        return v;
+    }
+
+    double amount_or_0(const toml::table& t, const std::string& where, const char* key) const {
+        return t.contains(key) ? number(t, where, key, 0, false) : 0;
+    }
+
+    int whole(const toml::table& t, const std::string& where, const char* key) const {
+        auto v = t[key].value_exact<std::int64_t>();
+        if (!v || *v < 1 || *v > 1'000'000'000) fail(where + key, "an integer of at least 1");
+        return static_cast<int>(*v);
+    }
+
+    Endpoint endpoint(const toml::table& t, const std::string& where, const char* key) const {
+        std::string s = text(t, where, key);
+        auto colon = s.rfind(':');
+        unsigned port = 0;
+        boost::system::error_code ec;
+        if (colon != std::string::npos) {
+            auto [p, e] = std::from_chars(s.data() + colon + 1, s.data() + s.size(), port);
+            if (e == std::errc() && p == s.data() + s.size() && port >= 1 && port <= 65535) {
+                boost::asio::ip::make_address_v4(s.substr(0, colon), ec);
+                if (!ec) return {s.substr(0, colon), static_cast<std::uint16_t>(port)};
+            }
+        }
+        fail(where + key, "an IPv4 address and port such as 10.0.0.1:8080");
+    }
+
+    const toml::table& table(const toml::table& t, const std::string& where, const char* key) const {
+        auto* sub = t[key].as_table();
+        if (!sub) fail(where + key, "a table");
+        return *sub;
+    }
+
+    std::vector<const toml::table*> tables(const toml::table& t, const std::string& where, const char* key) const {
+        std::vector<const toml::table*> out;
+        if (!t.contains(key)) return out;
+        auto* arr = t[key].as_array();
+        if (!arr) fail(where + key, "a list of tables");
+        for (auto& e : *arr) {
+            if (!e.is_table()) fail(where + key, "a list of tables");
+            out.push_back(e.as_table());
+        }
+        return out;
+    }
+
+  private:
+    std::string file_;
+    const toml::table& root_;
+};
+
+}  // namespace
+
+const Team* Settings::team(const std::string& name) const {
+    for (const Team& t : teams)
+        if (t.name == name) return &t;
+    return nullptr;
+}
+
+Settings load_settings(const std::string& path) {
+    toml::table root;
+    try {
+        root = toml::parse_file(path);
+    } catch (const toml::parse_error& e) {
+        std::string why(e.description());
+        for (char& c : why)
+            if (c == '\n') c = ' ';
+        throw SettingsError(path + ": line " + std::to_string(e.source().begin.line) +
+                            ": expected a readable TOML file (" + why + ")");
+    }
+    Reader r(path, root);
+    Settings s;
+    s.member = r.text(root, "", "member");
+    s.location = r.text(root, "", "location");
+    s.front = r.endpoint(root, "", "front");
+    s.internal = r.endpoint(root, "", "internal_addr");
+    std::set<std::string> names = {s.member};
+    for (auto* t : r.tables(root, "", "members")) {
+        MemberAddress m{r.text(*t, "members.", "member"), r.text(*t, "members.", "location"),
+                        r.endpoint(*t, "members.", "peer_addr")};
+        if (m.name == s.member) continue;
+        if (!names.insert(m.name).second) r.fail("members.member", "each name once");
+        s.members.push_back(std::move(m));
+    }
+    const auto& ends = r.table(root, "", "endpoints");
+    s.cloud = r.endpoint(ends, "endpoints.", "cloud");
+    s.state = r.endpoint(ends, "endpoints.", "state");
+    const auto& d = r.table(root, "", "deployment");
+    s.skewS = r.amount_or_0(d, "deployment.", "skew_ms") / 1000;
+    for (auto* t : r.tables(d, "deployment.", "teams")) {
+        const std::string w = "deployment.teams.";
+        Team team{r.text(*t, w, "name"), r.amount_or_0(*t, w, "cpus"), r.amount_or_0(*t, w, "cpus_max"),
+                  r.amount_or_0(*t, w, "gpus"), r.amount_or_0(*t, w, "gpus_max")};
+        if (s.team(team.name)) r.fail(w + "name", "each name once");
+        s.teams.push_back(std::move(team));
+    }
+    if (s.teams.empty()) r.fail("deployment.teams", "at least one team");
+    const auto& w = r.table(d, "deployment.", "workers");
+    const std::string ww = "deployment.workers.";
+    s.reportS = r.number(w, ww, "report_s", 0, true);
+    s.leaseS = r.number(w, ww, "lease_s", 0, true);
+    s.gangWaitS = r.number(w, ww, "gang_wait_s", 0, true);
+    s.gangPeerS = r.number(w, ww, "gang_peer_s", 0, true);
+    s.cancelS = r.number(w, ww, "cancel_s", 0, true);
+    const auto& st = r.table(d, "deployment.", "state");
+    const std::string sw = "deployment.state.";
+    s.stateRps = r.number(st, sw, "rps", 0, true);
+    s.stateWriteRps = r.number(st, sw, "write_rps", 0, true);
+    s.valueKb = r.number(st, sw, "value_kb", 0, true);
+    s.txnOps = r.whole(st, sw, "txn_ops");
+    if (s.txnOps < 4) r.fail(sw + "txn_ops", "an integer of at least 4");
+    const auto& c = r.table(d, "deployment.", "cloud");
+    s.cloudRps = r.number(c, "deployment.cloud.", "rps", 0, true);
+    s.listLagS = r.amount_or_0(c, "deployment.cloud.", "list_lag_s");
+    const auto& q = r.table(d, "deployment.", "quota");
+    s.cores = r.number(q, "deployment.quota.", "cores", 0, true);
+    s.ramMb = r.number(q, "deployment.quota.", "ram_mb", 0, true);
+    s.maxSockets = r.whole(q, "deployment.quota.", "max_sockets");
+    return s;
+}
+
+}  // namespace wellstair::app
--- /dev/null
+++ b/src/controller/core.cpp
@@ -0,0 +1,538 @@
+#include "controller/core.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace wellstair::controller {
+
+using model::GangState;
+using model::HaltNote;
+using model::StartNote;
+using model::HostNotes;
+using model::HostRecord;
+using model::HostState;
+using model::Job;
+using model::JobState;
+using model::MemberState;
+using model::Step;
+using model::StepRef;
+using model::StepState;
+using model::TaskKey;
+using wire::Json;
+
+namespace {
+
+// Two steady clocks may drift apart by 0.05%; and the report's sending precedes its arrival, never follows it.
+constexpr double kDrift = 1.002;
+constexpr double kTimerSlackS = 0.1;
+
+std::uint64_t mix(std::string_view a, std::string_view b) {
+    std::uint64_t h = 1469598103934665603ull;
+    for (std::string_view s : {a, std::string_view("|"), b})
+        for (unsigned char c : s) h = (h ^ c) * 1099511628211ull;
+    h ^= h >> 33;
+    h *= 0xff51afd7ed558ccdull;
+    return h ^ (h >> 33);
+}
+
+}  // namespace
+
+Core::Core(const app::Settings& settings, Tunables tunables, std::uint64_t incarnation)
+    : settings_(settings), tunables_(tunables), incarnation_(incarnation) {
+    reset_view();
+}
+
+void Core::reset_view() {
+    // Per value: entries of at most 64 bytes as JSON.
+    auto chunk = static_cast<std::uint32_t>(std::max(1.0, settings_.valueKb * 1024 / 64));
+    view_ = std::make_unique<model::View>(chunk);
+    view_->on_step = [this](Job& j, std::uint32_t i, const Step& b, const Step& a) { on_step(j, i, b, a); };
+    viewReady_ = false;
+}
+
+std::uint64_t Core::member_stamp() const {
+    auto it = view_->members().find(settings_.member);
+    return it != view_->members().end() && it->second.incarnation == incarnation_ ? it->second.stamp : 0;
+}
+
+void Core::set_member_state(MemberState s) {
+    MemberState before = member_;
+    if (member_.become(s))
+        spdlog::info("member state {} -> {}", model::MemberTraits::name(before), model::MemberTraits::name(s));
+}
+
+Draft Core::new_draft() { return Draft(*view_, settings_, settings_.member, member_stamp()); }
+
+HostNotes* Core::notes(const std::string& host) {
+    auto it = notes_.find(host);
+    return it == notes_.end() ? nullptr : &it->second;
+}
+
+// ---------------------------------------------------------------- users
+
+const char* Core::phase_name(const Job& job) {
+    switch (job.state.state()) {
+        case JobState::withdrawn:
+        case JobState::aborted: return "aborted";
+        case JobState::done: return "done";
+        case JobState::active: break;
+    }
+    return job.placed > 0 ? "running" : "queued";
+}
+
+std::optional<Answer> Core::known(const std::string& id) {
+    if (const auto* f = view_->final(id))
+        return Answer{200, {{"ref", id}, {"phase", f->state == JobState::done ? "done" : "aborted"}}, 0};
+    if (const Job* job = view_->job(id))
+        return Answer{
+            200, {{"ref", id}, {"phase", phase_name(*job)}, {"done", job->done}, {"running", job->placed}}, 0};
+    return std::nullopt;
+}
+
+Answer Core::poll(const std::string& id) {
+    if (auto a = known(id)) return *a;
+    return {404, {{"error", "no such job"}}, 0};
+}
+
+std::optional<std::string> Core::never_runs(const wire::JobSpec& s, bool& unsure) const {
+    unsure = false;
+    const app::Team* team = settings_.team(s.crew);
+    if (!team) return "unknown team " + s.crew;
+    double tasks = s.shape == wire::Shape::gang ? s.steps : 1;
+    if (team->cpusMax > 0 && s.cores * tasks > team->cpusMax + 1e-9) return "more cores than the limit of team " + s.crew;
+    if (team->gpusMax > 0 && s.gpus * tasks > team->gpusMax + 1e-9) return "more GPUs than the limit of team " + s.crew;
+    if (view_->types().empty()) {
+        unsure = true;
+        return std::nullopt;
+    }
+    for (const auto& [name, t] : view_->types()) {
+        if (s.builds && std::find(s.builds->begin(), s.builds->end(), name) == s.builds->end()) continue;
+        if (s.hall && std::find(t.halls.begin(), t.halls.end(), *s.hall) == t.halls.end()) continue;
+        if (placement::Need{s.cores, s.gpus, s.ramGb}.fits({t.cores, t.gpus, t.ramGb})) return std::nullopt;
+    }
+    return "a task fits no allowed machine type";
+}
+
+// ---------------------------------------------------------------- workers
+
+bool Core::kept_here(const HostRecord* h) const {
+    return h && h->stamp && h->keeper == settings_.member && h->incarnation == incarnation_;
+}
+
+std::string Core::preferred(const std::string& host, const std::string& hall) const {
+    std::string best;
+    std::uint64_t bestScore = 0;
+    bool bestNear = false;
+    auto consider = [&](const std::string& name, const std::string& zone) {
+        if (!view_->member_live(name)) return;
+        bool near = zone == hall;
+        std::uint64_t score = mix(name, host);
+        if (best.empty() || near > bestNear || (near == bestNear && score > bestScore))
+            best = name, bestScore = score, bestNear = near;
+    };
+    consider(settings_.member, settings_.location);
+    for (const auto& m : settings_.members) consider(m.name, m.zone);
+    return best;
+}
+
+Admission Core::admit(const wire::Report& r, Moment now) {
+    HostRecord* h = view_->host(r.host);
+    bool mine = kept_here(h);
+    if (member_ == MemberState::alone || member_ == MemberState::joining || !viewReady_) return {};
+    // The cloud has said that this machine is gone: what arrives is a late copy.
+    if (h && h->returned) return {};
+    if (mine) {
+        // A baton above ours was handed out by somebody the watch has not shown yet, or cannot.
+        if (r.baton > h->stamp) return member_ == MemberState::live ? Admission{Admission::claim, ""} : Admission{};
+        // Also in an outage: without our answers the machine's lease would run out and its work be lost.
+        return {Admission::kept, ""};
+    }
+    if (member_ != MemberState::live || !member_stamp()) return {};
+    std::string to = h && h->stamp ? h->keeper : "";
+    if (to == settings_.member) return {Admission::claim, ""};  // an earlier process of ours
+    if (to.empty() || !view_->member_live(to)) to = preferred(r.host, r.hall);
+    if (to == settings_.member || to.empty()) return {Admission::claim, ""};
+    if (auto it = hints_.find(to); it != hints_.end() && now.steady - it->second.atS < settings_.reportS &&
+                                   !it->second.hint.live)
+        return {Admission::claim, ""};
+    // A host that comes back soon after being sent away could not reach the one it was sent to.
+    double& at = redirected_[r.host];
+    if (at > 0 && now.steady - at < settings_.leaseS) {
+        if (now.steady - at > 0.3) return {Admission::claim, ""};
+        return {Admission::redirect, to};
+    }
+    at = now.steady;
+    return {Admission::redirect, to};
+}
+
+void Core::note_claim(const wire::Report& r) {
+    claims_[r.host] = r;
+    dirty_ = true;
+}
+
+void Core::digest(const wire::Report& r, bool checkin, Moment now) {
+    HostRecord* h = view_->host(r.host);
+    if (!kept_here(h)) return;
+    HostNotes& n = notes_[r.host];
+    if (!n.newer(r)) return;  // held back on the way: as old as it is
+    std::map<TaskKey, model::Seen> before = n.tasks;
+    bool fencedBefore = n.state == HostState::fenced, reclaimBefore = n.reclaimS.has_value();
+    n.take(r, checkin, now.steady);
+    if (checkin) n.lastReportS = now.steady;
+    bool changed = before.size() != n.tasks.size() || reclaimBefore != n.reclaimS.has_value();
+    for (const auto& [key, seen] : n.tasks) {
+        auto old = before.find(key);
+        bool fresh = old == before.end() || old->second.attempt != seen.attempt || old->second.phase != seen.phase;
+        if (!fresh) continue;
+        changed = true;
+        if (seen.phase == wire::TaskPhase::ended) note_end(n, r.host, key, seen, now);
+        if (seen.phase == wire::TaskPhase::running || seen.phase == wire::TaskPhase::waiting)
+            if (Job* job = view_->job(key.first)) h->cache.ready(job->spec->bundle, job->spec->imageGb, now.wall);
+    }
+    if (n.state == HostState::claiming || n.state == HostState::released) n.state.become(HostState::kept);
+    // A baton equal to ours shows that every command under an older one is refused from here on.
+    if (r.baton == h->stamp && checkin && n.state != HostState::fenced) {
+        if (n.state == HostState::expired || n.state == HostState::silent)
+            spdlog::info("host {} reports again", r.host);
+        n.state.become(HostState::fenced);
+    }
+    if (changed || !fencedBefore) dirty_ = true;
+}
+
+void Core::note_end(HostNotes& n, const std::string& host, const TaskKey& key, const model::Seen& seen, Moment now) {
+    using wire::Cause;
+    if (seen.cause == Cause::done) {
+        n.failures = 0;
+        n.failedJobs.clear();
+        n.quarantineUntilS = -1e9;
+        jobNotes_.erase(key.first);
+    } else if (seen.cause == Cause::error) {
+        JobNotes& j = jobNotes_[key.first];
+        j.failedOn.insert(host);
+        ++j.failures;
+        ++n.failures;
+        n.failedJobs.insert(key.first);
+        // Mostly the machine is faulty; a job that fails on machine after machine is at fault itself.
+        if (j.failedOn.size() >= 3) {
+            j.notBeforeS = now.steady + settings_.reportS * std::min(64.0, std::exp2(j.failures - 2));
+            n.failedJobs.erase(key.first);
+            if (n.failedJobs.empty()) n.failures = 0, n.quarantineUntilS = -1e9;
+        } else {
+            n.quarantineUntilS = now.steady + settings_.leaseS * std::min(8.0, std::exp2(n.failures - 1));
+        }
+        spdlog::info("step {}/{} failed on {} ({} in a row there, job failed on {} machines)", key.first, key.second,
+                     host, n.failures, j.failedOn.size());
+    } else if (seen.cause == Cause::unknown || seen.cause == Cause::busy || seen.cause == Cause::full) {
+        JobNotes& j = jobNotes_[key.first];
+        j.notBeforeS = std::max(j.notBeforeS, now.steady + settings_.reportS / 3);
+        spdlog::info("start of {}/{} refused by {}: {}", key.first, key.second, host, static_cast<int>(seen.cause));
+    }
+}
+
+void Core::on_step(Job& job, std::uint32_t index, const Step& before, const Step& after) {
+    dirty_ = true;
+    TaskKey key{job.id, index};
+    if (before.host && before.host != after.host)
+        if (HostNotes* n = notes(before.host->name)) n->evict.erase(key);
+    if (after.host && after.host != before.host) doubts_.erase(after.host->name);
+}
+
+GangState Core::gang_state(const Job& job) const {
+    if (job.done == job.spec->steps) return GangState::done;
+    if (job.placed + job.done == job.spec->steps) return GangState::placed;
+    if (job.placed == 0 && job.done == 0) return GangState::open;
+    return GangState::broken;
+}
+
+bool Core::stopping(const Job& job, const Step& step) const {
+    if (job.state == JobState::withdrawn) return true;
+    if (!job.gang() || job.spec->steps == 1) return false;
+    return gang_state(job) == GangState::broken || (job.stopAttempt && job.stopAttempt == step.attempt);
+}
+
+// A task is done or gone only by proof. Silence proves nothing, one report only what its tokens bear out.
+Core::Proof Core::proof(const HostRecord& h, const StepRef& ref) {
+    Step s = ref.job->step(ref.index, view_->chunk_size());
+    if (h.returned) return responsible(*ref.job) ? Proof::gone : Proof::none;  // the cloud's word
+    if (!kept_here(&h)) return Proof::none;
+    auto it = notes_.find(h.name);
+    if (it == notes_.end()) return Proof::none;
+    HostNotes& n = it->second;
+    if (n.state == HostState::expired) return Proof::gone;  // the lease ran out by our own count
+    if (n.state != HostState::fenced) return Proof::none;   // older commands may still reach the host
+    TaskKey key{ref.job->id, ref.index};
+    auto st = n.starts.find(key);
+    StartNote* sent = st != n.starts.end() && st->second.attempt == s.attempt ? &st->second : nullptr;
+    if (sent && sent->inFlight > 0) return Proof::none;
+    if (sent && sent->unanswered >= h.stamp) {
+        // This start may still execute, minutes from now. A higher baton that the host confirms ends that.
+        n.needFence = true;
+        return Proof::none;
+    }
+    auto seen = n.tasks.find(key);
+    if (seen != n.tasks.end() && seen->second.attempt == s.attempt) {
+        if (seen->second.phase != wire::TaskPhase::ended) return Proof::none;
+        return seen->second.cause == wire::Cause::done ? Proof::done : Proof::gone;
+    }
+    if (s.baton != h.stamp) return Proof::gone;  // placed under an older keepership, and not there under this one
+    if (!sent) return stopping(*ref.job, s) || h.returnStamp ? Proof::gone : Proof::none;  // never sent
+    if (sent->seen || n.tenure > sent->tenure) return Proof::gone;
+    // Sent with a report's answer and absent from a newer report: it was dropped there and cannot come late.
+    if (stopping(*ref.job, s) && n.checkinTick > sent->tick) return Proof::gone;
+    return Proof::none;
+}
+
+std::vector<wire::Order> Core::orders(const std::string& host, bool byCommand, Moment now) {
+    std::vector<wire::Order> reaps, halts, starts;
+    HostRecord* h = view_->host(host);
+    HostNotes* n = notes(host);
+    if (!kept_here(h) || !n) return {};
+    std::map<TaskKey, std::uint32_t> placedHere;
+    for (const StepRef& ref : h->placed) {
+        Step s = ref.job->step(ref.index, view_->chunk_size());
+        TaskKey key{ref.job->id, ref.index};
+        placedHere[key] = s.attempt;
+        auto seen = n->tasks.find(key);
+        bool there = seen != n->tasks.end() && seen->second.attempt == s.attempt;
+        bool stop = stopping(*ref.job, s) || n->evict.count(key);
+        if (there && seen->second.phase != wire::TaskPhase::ended && stop) {
+            HaltNote& note = n->halts[key];
+            bool first = note.attempt != s.attempt;
+            if (first) note = {s.attempt, now.steady};
+            bool useless = ref.job->state == JobState::withdrawn || ref.job->spec->snapshotS <= 0;
+            bool orderly = !useless && (!ref.job->gang() || ref.job->spec->steps == 1 ||
+                                        gang_state(*ref.job) != GangState::broken);
+            double windDown = orderly ? ref.job->spec->flushS + settings_.reportS : 0;
+            if (seen->second.phase == wire::TaskPhase::flushing && orderly) continue;
+            halts.push_back({wire::Verb::halt, key.first, key.second, s.attempt, windDown});
+        }
+        if (!there && !stop && s.baton == h->stamp && n->state == HostState::fenced && member_ == MemberState::live &&
+            n->baton == h->stamp && !h->returnStamp) {
+            auto st = n->starts.find(key);
+            bool sent = st != n->starts.end() && st->second.attempt == s.attempt;
+            if (sent && (st->second.seen || st->second.tenure != n->tenure)) continue;
+            // By command only once in a while: the report's answer repeats it without any risk of coming late.
+            if (byCommand && sent && now.steady - st->second.commandedS < settings_.reportS / 2) continue;
+            if (byCommand && sent && (st->second.inFlight || st->second.unanswered)) continue;
+            starts.push_back({wire::Verb::start, key.first, key.second, s.attempt, 0});
+        }
+    }
+    for (const auto& [key, seen] : n->tasks) {
+        auto p = placedHere.find(key);
+        if (p != placedHere.end() && p->second == seen.attempt) continue;
+        // Not, or no longer, placed here: the state service has its result, or never knew of it.
+        if (seen.phase == wire::TaskPhase::ended) {
+            auto st = n->starts.find(key);
+            bool late = st != n->starts.end() && st->second.attempt == seen.attempt &&
+                        (st->second.inFlight || st->second.unanswered >= h->stamp);
+            if (!late) reaps.push_back({wire::Verb::reap, key.first, key.second, seen.attempt, 0});
+        } else {
+            halts.push_back({wire::Verb::halt, key.first, key.second, seen.attempt, 0});
+        }
+    }
+    std::vector<wire::Order> all = std::move(reaps);
+    all.insert(all.end(), halts.begin(), halts.end());
+    all.insert(all.end(), starts.begin(), starts.end());
+    if (!byCommand)
+        for (const wire::Order& o : starts) {
+            StartNote& note = n->starts[{o.job, o.index}];
+            if (note.attempt != o.attempt) note = {};
+            if (!note.attempt) note.tenure = n->tenure;
+            note.attempt = o.attempt;
+            note.tick = n->checkinTick;
+        }
+    return all;
+}
+
+std::vector<std::string> Core::hosts_to_command(Moment now) {
+    std::vector<std::string> out;
+    if (member_ != MemberState::live) return out;
+    for (auto& [name, n] : notes_) {
+        if (n.state != HostState::fenced || n.address.empty()) continue;
+        HostRecord* h = view_->host(name);
+        if (!kept_here(h)) continue;
+        for (const wire::Order& o : orders(name, true, now)) {
+            bool urgent = o.verb == wire::Verb::start;
+            if (o.verb == wire::Verb::halt) {
+                HaltNote& note = n.halts[{o.job, o.index}];
+                urgent = now.steady - note.sentS > settings_.reportS || note.sentS == now.steady;
+                if (note.attempt != o.attempt) note.attempt = o.attempt, urgent = true;
+            }
+            if (urgent) {
+                out.push_back(name);
+                break;
+            }
+        }
+    }
+    return out;
+}
+
+void Core::commands_sent(const std::string& host, const std::vector<wire::Order>& orders, Moment now) {
+    HostNotes& n = notes_[host];
+    for (const wire::Order& o : orders) {
+        if (o.verb == wire::Verb::start) {
+            StartNote& note = n.starts[{o.job, o.index}];
+            if (note.attempt != o.attempt) note = {};
+            if (!note.attempt) note.tenure = n.tenure, note.tick = n.checkinTick;
+            note.attempt = o.attempt;
+            note.commandedS = now.steady;
+            ++note.inFlight;
+        } else if (o.verb == wire::Verb::halt) {
+            n.halts[{o.job, o.index}] = {o.attempt, now.steady - 1e-3};
+        }
+    }
+}
+
+void Core::commands_answered(const std::string& host, const std::vector<wire::Order>& orders, bool answered,
+                             std::uint64_t baton) {
+    auto it = notes_.find(host);
+    if (it == notes_.end()) return;
+    for (const wire::Order& o : orders) {
+        if (o.verb != wire::Verb::start) continue;
+        auto st = it->second.starts.find({o.job, o.index});
+        if (st == it->second.starts.end() || st->second.attempt != o.attempt) continue;
+        if (st->second.inFlight > 0) --st->second.inFlight;
+        if (!answered) st->second.unanswered = std::max(st->second.unanswered, baton);
+    }
+    dirty_ = true;
+}
+
+// ---------------------------------------------------------------- rounds
+
+bool Core::responsible(const Job& job) const {
+    if (view_->member_live(job.owner)) return job.owner == settings_.member;
+    return preferred(job.id, "") == settings_.member;
+}
+
+bool Core::tick(Moment now) {
+    bool changed = false;
+    for (auto it = notes_.begin(); it != notes_.end();) {
+        const std::string& name = it->first;
+        HostNotes& n = it->second;
+        HostRecord* h = view_->host(name);
+        if (viewReady_ && !kept_here(h)) {
+            if (n.state != HostState::released) {
+                n.state.become(HostState::released);
+                spdlog::info("host {} is no longer kept here", name);
+            }
+            if (now.steady - n.lastReportS > settings_.leaseS) {
+                it = notes_.erase(it);
+                continue;
+            }
+            ++it;
+            continue;
+        }
+        double silent = now.steady - n.lastReportS;
+        if (n.state == HostState::fenced && silent > 1.6 * settings_.reportS) {
+            n.state.become(HostState::silent);
+            spdlog::info("host {} is silent", name);
+            changed = true;
+        }
+        // The lease counts from when the last answered report was sent, which is before it came in here. Only our
+        // own baton can renew it (the host has confirmed it), and nobody else may use that.
+        if (n.state == HostState::silent && silent > settings_.leaseS * kDrift + kTimerSlackS) {
+            n.state.become(HostState::expired);
+            spdlog::info("host {} has expired with {} steps", name, h ? h->placed.size() : 0);
+            changed = true;
+        }
+        ++it;
+    }
+    if (changed) dirty_ = true;
+    return changed;
+}
+
+Draft Core::round(Moment now) {
+    Draft draft = new_draft();
+    dirty_ = false;
+    if (!viewReady_ || member_ != MemberState::live || !member_stamp()) return draft;
+    for (auto it = claims_.begin(); it != claims_.end();) {
+        HostRecord* h = view_->host(it->first);
+        if (kept_here(h) && it->second.baton <= h->stamp) {
+            it = claims_.erase(it);
+            continue;
+        }
+        if (!draft.claim(it->second, settings_.member, incarnation_, h ? h->stamp : 0)) break;
+        ++it;
+    }
+    for (auto& [name, n] : notes_) {
+        HostRecord* h = view_->host(name);
+        if (!n.needFence || !kept_here(h)) continue;
+        wire::Report r;
+        r.host = name, r.address = n.address, r.build = h->build, r.hall = h->hall, r.loaners = h->loaner;
+        draft.claim(r, settings_.member, incarnation_, h->stamp);
+    }
+    clear_ended(draft, now);
+    finish_jobs(draft);
+    place(draft, now);
+    propose_returns(draft, now);
+    return draft;
+}
+
+void Core::clear_ended(Draft& draft, Moment now) {
+    for (const auto& [name, record] : view_->hosts()) {
+        if (record->placed.empty() || (!record->returned && !kept_here(record.get()))) continue;
+        auto placed = record->placed;
+        HostNotes* n = notes(name);
+        for (const StepRef& ref : placed) {
+            // Going away, by the cloud's notice or by our own mark: stop what can save.
+            if (n && (n->reclaimS || record->returnStamp) && !record->returned) {
+                if (ref.job->gang() && ref.job->spec->steps > 1) {
+                    Step s = ref.job->step(ref.index, view_->chunk_size());
+                    if (ref.job->stopAttempt != s.attempt && ref.job->state == JobState::active)
+                        draft.stop_attempt(*ref.job, s.attempt);
+                } else {
+                    n->evict.try_emplace({ref.job->id, ref.index}, now.steady);
+                }
+            }
+            Proof p = proof(*record, ref);
+            if (p == Proof::none) continue;
+            if (p == Proof::done && ref.job->state != JobState::active) p = Proof::gone;
+            if (!draft.clear(*ref.job, ref.index, p == Proof::done ? StepState::done : StepState::open,
+                             !record->returned)) {
+                dirty_ = true;
+                return;
+            }
+        }
+    }
+}
+
+void Core::finish_jobs(Draft& draft) {
+    for (const auto& [order, job] : view_->queue()) {
+        if (!responsible(*job)) continue;
+        bool fits = true;
+        if (job->state == JobState::active && job->done == job->spec->steps)
+            fits = draft.finish(*job, JobState::done);
+        else if (job->state == JobState::withdrawn && job->placed == 0)
+            fits = draft.finish(*job, JobState::aborted);
+        if (!fits) {
+            dirty_ = true;
+            return;
+        }
+    }
+    if (view_->cloud_role() == settings_.member)
+        for (const auto& [path, stamp] : view_->leftovers())
+            if (!draft.sweep(path, stamp)) return;
+}
+
+// ---------------------------------------------------------------- peers
+
+void Core::set_hint(const peers::Hint& hint, Moment now) {
+    hints_[hint.member] = {hint, now.steady};
+}
+
+peers::Hint Core::own_hint(double storeAgeS, Moment now) const {
+    peers::Hint hint{settings_.member, incarnation_, storeAgeS, member_ == MemberState::live, {}};
+    for (const auto& [name, h] : view_->hosts())
+        if (kept_here(h.get()) && !usable(*h, now)) hint.unusable.push_back(name);
+    return hint;
+}
+
+bool Core::peer_has_store(Moment now) const {
+    for (const auto& [name, n] : hints_)
+        if (now.steady - n.atS < 1.5 && n.hint.live && n.hint.storeAgeS < 1.0) return true;
+    return false;
+}
+
+}  // namespace wellstair::controller
--- /dev/null
+++ b/src/controller/draft.hpp
@@ -0,0 +1,65 @@
+// One transaction in the making: what is to change, and the stamps that it all rests on.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "app/settings.hpp"
+#include "model/view.hpp"
+
+namespace wellstair::controller {
+
+struct Txn {
+    wire::Json body;
+    int writes = 0;
+    std::vector<std::string> about;  // for the log
+};
+
+class Draft {
+  public:
+    // Every transaction carries `member` (path and stamp): a deposed controller's cannot apply.
+    Draft(model::View& view, const app::Settings& settings, const std::string& member, std::uint64_t memberStamp);
+
+    // Each returns false, changing nothing, when the transaction has no room left for it.
+    bool submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS);
+    bool withdraw(model::Job& job);
+    bool stop_attempt(model::Job& job, std::uint32_t attempt);
+    // All of one gang, or single tasks; `hosts` are those it is to run on.
+    bool place(model::Job& job, const std::vector<std::pair<std::uint32_t, model::HostRecord*>>& tasks,
+               std::uint32_t attempt, std::int64_t atS);
+    // The task is proven to be gone, or done. `fence`: the proof rests on the keepership of its host.
+    bool clear(model::Job& job, std::uint32_t index, model::StepState to, bool fence);
+    bool finish(model::Job& job, model::JobState to);
+    bool sweep(const std::string& path, std::uint64_t stamp);
+    bool claim(const wire::Report& report, const std::string& keeper, std::uint64_t incarnation, std::uint64_t stamp);
+    bool mark_return(const std::string& host, std::uint64_t stamp, std::int64_t atS, bool gone, const std::string& why);
+    bool forget_host(const model::HostRecord& host);
+    bool put(const std::string& path, std::uint64_t stamp, wire::Json data, std::uint64_t hold);
+
+    bool empty() const { return writes() == 0; }
+    int writes() const;
+    Txn build() const;
+
+  private:
+    using ChunkKey = std::pair<model::Job*, std::uint32_t>;
+    bool room(int writes, int conditions, std::size_t bytes) const;
+    std::vector<model::Step>& edit(model::Job& job, std::uint32_t chunk);
+    void when(const std::string& path, std::uint64_t stamp) { when_[path] = stamp; }
+    void set(const std::string& path, wire::Json data, std::uint64_t hold = 0);
+    void charge(model::Job& job, std::int64_t tasks);
+
+    model::View& view_;
+    const app::Settings& settings_;
+    std::map<std::string, std::uint64_t> when_;
+    std::vector<std::pair<std::string, wire::Json>> sets_;
+    std::map<std::string, std::uint64_t> holds_;
+    std::set<std::string> removes_;
+    std::map<ChunkKey, std::vector<model::Step>> chunks_;
+    std::map<std::string, std::pair<std::int64_t, std::int64_t>> charges_;
+    std::size_t bytes_ = 0;
+    std::vector<std::string> about_;
+};
+
+}  // namespace wellstair::controller
--- /dev/null
+++ b/src/controller/planning.cpp
@@ -0,0 +1,382 @@
+// Placement and renting: what the controller asks of LEM and of the cloud.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "controller/core.hpp"
+
+namespace wellstair::controller {
+
+using model::HostNotes;
+using model::HostRecord;
+using model::HostState;
+using model::Job;
+using model::JobState;
+using model::Step;
+using model::StepRef;
+using model::StepState;
+using placement::Need;
+
+namespace {
+
+Need need_of(const wire::JobSpec& s) { return {s.cores, s.gpus, s.ramGb}; }
+
+std::string offer_key(const RentalOrder& o) { return o.build + "/" + o.hall + (o.loaner ? "/spot" : "/ordinary"); }
+
+bool allows(const wire::JobSpec& s, const std::string& build, const std::string& hall, bool loaner) {
+    if (s.builds && std::find(s.builds->begin(), s.builds->end(), build) == s.builds->end()) return false;
+    if (s.hall && *s.hall != hall) return false;
+    return !loaner || s.loaners;
+}
+
+}  // namespace
+
+bool Core::usable(const HostRecord& h, Moment now) const {
+    if (!h.stamp || h.returnStamp || !view_->member_live(h.keeper)) return false;
+    if (kept_here(&h)) {
+        auto it = notes_.find(h.name);
+        if (it == notes_.end()) return false;
+        const HostNotes& n = it->second;
+        return n.state == HostState::fenced && n.baton == h.stamp && !n.reclaimS && !n.needFence &&
+               now.steady >= n.quarantineUntilS;
+    }
+    if (auto it = hints_.find(h.keeper); it != hints_.end() && now.steady - it->second.atS < settings_.reportS) {
+        const auto& u = it->second.hint.unusable;
+        if (std::find(u.begin(), u.end(), h.name) != u.end()) return false;
+    }
+    // Its keeper does not start there what our plan expects it to: count on it no more for a while.
+    if (auto it = doubts_.find(h.name); it != doubts_.end()) {
+        double age = now.steady - it->second.sinceS;
+        if (age > settings_.reportS / 2 && age < 4 * settings_.reportS) return false;
+    }
+    return true;
+}
+
+placement::Weights Core::weights(std::size_t machines) const {
+    placement::Weights w;
+    w.w = tunables_.leaWeight > 0 ? tunables_.leaWeight : static_cast<double>(machines);
+    w.gpuCareS = settings_.reportS / 3;
+    w.mode = tunables_.mode;
+    return w;
+}
+
+std::vector<placement::Machine> Core::machines(Moment now, std::vector<HostRecord*>& records) {
+    std::vector<placement::Machine> out;
+    std::vector<HostRecord*> hosts;
+    for (const auto& [name, h] : view_->hosts())
+        if (usable(*h, now) && view_->type(h->build)) hosts.push_back(h.get());
+    std::sort(hosts.begin(), hosts.end(), [](auto* a, auto* b) { return a->name < b->name; });
+    for (HostRecord* h : hosts) {
+        const wire::MachineType& t = *view_->type(h->build);
+        placement::Machine m;
+        m.name = h->name, m.build = h->build, m.hall = h->hall, m.loaner = h->loaner;
+        m.total = {t.cores, t.gpus, t.ramGb};
+        m.cacheGb = t.cacheGb;
+        m.fetchGbPerS = tunables_.fetchGbPerS > 0 ? tunables_.fetchGbPerS : view_->fetch_rate(h->build);
+        m.cache = &h->cache;
+        m.busy = !h->placed.empty();
+        for (const StepRef& ref : h->placed) {
+            const wire::JobSpec& s = *ref.job->spec;
+            Step step = ref.job->step(ref.index, view_->chunk_size());
+            double until = step.atS + s.imageGb / m.fetchGbPerS + s.expectS;
+            // Overdue by its estimate: expect a part of the estimate more.
+            until = std::max(until, now.wall + std::max(settings_.reportS, s.expectS / 5));
+            m.holds.push_back({now.wall - 1, until, need_of(s)});
+        }
+        out.push_back(std::move(m));
+        records.push_back(h);
+    }
+    return out;
+}
+
+placement::Request Core::request_of(const Job& job, const std::vector<placement::Machine>& machines) const {
+    const wire::JobSpec& s = *job.spec;
+    placement::Request r;
+    r.need = need_of(s);
+    r.image = s.bundle;
+    r.imageGb = s.imageGb;
+    r.expectS = std::max(s.expectS, 0.1);
+    r.together = s.together;
+    r.scatter = s.scatter;
+    r.scatterCap = (s.steps + 1) / 2;
+    r.allowed.reserve(machines.size());
+    for (const auto& m : machines) r.allowed.push_back(allows(s, m.build, m.hall, m.loaner));
+    if (s.together || s.scatter) {
+        std::map<std::string, std::uint32_t> halls;
+        for (const auto& chunk : job.chunks)
+            for (const Step& step : chunk.steps)
+                if (step.host) ++halls[step.host->hall];
+        r.inHall.assign(halls.begin(), halls.end());
+    }
+    return r;
+}
+
+std::vector<Core::Queued> Core::ordered_queue() const {
+    std::vector<Queued> out;
+    std::map<std::string, std::pair<double, double>> used;  // per team, in submission order
+    for (const auto& [order, job] : view_->queue()) {
+        if (job->state != JobState::active || job->done == job->spec->steps) continue;
+        const wire::JobSpec& s = *job->spec;
+        auto& [cores, gpus] = used[s.crew];
+        double left = s.steps - job->done;
+        cores += s.cores * left;
+        gpus += s.gpus * left;
+        const app::Team* t = settings_.team(s.crew);
+        bool within = t && cores <= t->cpus + 1e-9 && gpus <= t->gpus + 1e-9;
+        if (job->open() > 0) out.push_back({job, static_cast<int>(s.rank), !within});
+    }
+    std::stable_sort(out.begin(), out.end(), [](const Queued& a, const Queued& b) {
+        return std::pair(a.rank, a.beyond) < std::pair(b.rank, b.beyond);
+    });
+    return out;
+}
+
+Core::Plan Core::make_plan(Moment now) {
+    Plan plan;
+    std::vector<HostRecord*> records;
+    auto list = machines(now, records);
+    std::size_t count = list.size();
+    placement::Planner planner(now.wall, std::move(list), weights(count));
+    std::map<std::string, Need> room;  // per team, below its limit
+    for (const app::Team& t : settings_.teams) {
+        auto it = view_->teams().find(t.name);
+        double cores = it == view_->teams().end() ? 0 : it->second.cores / 1000.0;
+        double gpus = it == view_->teams().end() ? 0 : it->second.gpus / 1000.0;
+        room[t.name] = {t.cpusMax > 0 ? t.cpusMax - cores : 1e12, t.gpusMax > 0 ? t.gpusMax - gpus : 1e12, 1e12};
+    }
+    // Promises are made to the first of the queue only; behind them, tasks start where they disturb no promise.
+    std::size_t promises = 2 * count + 8;
+    for (const Queued& q : ordered_queue()) {
+        Job& job = *q.job;
+        const wire::JobSpec& s = *job.spec;
+        if (auto it = jobNotes_.find(job.id); it != jobNotes_.end() && now.steady < it->second.notBeforeS) continue;
+        bool gang = job.gang() && s.steps > 1;
+        if (gang && gang_state(job) != model::GangState::open) continue;
+        Need& teamRoom = room[s.crew];
+        auto fits_team = [&](double n) {
+            return n * s.cores <= teamRoom.cores + 1e-6 && n * s.gpus <= teamRoom.gpus + 1e-6;
+        };
+        placement::Request r = request_of(job, planner.machines());
+        std::vector<std::uint32_t> open;
+        std::uint32_t most = gang ? s.steps : 256;
+        for (std::uint32_t c = 0; c < job.chunks.size() && open.size() < most; ++c) {
+            const auto& chunk = job.chunks[c];
+            std::uint32_t base = c * view_->chunk_size(), n = std::min(view_->chunk_size(), s.steps - base);
+            if (!chunk.steps.empty() && chunk.done + chunk.placed == n) continue;
+            for (std::uint32_t i = 0; i < n && open.size() < most; ++i)
+                if (chunk.steps.empty() || chunk.steps[i].state == StepState::open) open.push_back(base + i);
+        }
+        if (gang && !fits_team(s.steps)) continue;
+        std::uint32_t limit = 0;
+        while (limit < open.size() && fits_team(limit + 1)) ++limit;
+        r.count = gang ? s.steps : limit;
+        if (r.count == 0) continue;
+        bool startOnly = promises == 0;
+        auto slots = gang ? planner.place_gang(r, startOnly) : planner.place_batch(r, startOnly);
+        std::uint32_t started = 0;
+        Plan::Start whole{&job, {}, 0};
+        for (std::size_t k = 0; k < slots.size(); ++k) {
+            if (slots[k].start > now.wall) {
+                if (promises) --promises;
+                continue;
+            }
+            ++started;
+            HostRecord* h = records[slots[k].machine];
+            std::uint32_t attempt = job.step(open[k], view_->chunk_size()).attempt + 1;
+            if (gang) {
+                whole.tasks.emplace_back(open[k], h);
+                whole.attempt = std::max(whole.attempt, attempt);
+            } else {
+                plan.starts.push_back({&job, {{open[k], h}}, attempt});
+            }
+        }
+        if (gang && whole.tasks.size() == s.steps) plan.starts.push_back(std::move(whole));
+        teamRoom = {teamRoom.cores - started * s.cores, teamRoom.gpus - started * s.gpus, teamRoom.ramGb};
+        if (started < r.count) plan.unmet.emplace_back(&job, r.count - started);
+    }
+    plan.machines = planner.machines();
+    return plan;
+}
+
+void Core::place(Draft& draft, Moment now) {
+    if (view_->queue().empty()) return;
+    Plan plan = make_plan(now);
+    for (const auto& start : plan.starts) {
+        bool wide = start.tasks.size() > 1;
+        if (wide ? !responsible(*start.job) : !kept_here(start.tasks.front().second)) {
+            if (!wide) {
+                HostRecord* h = start.tasks.front().second;
+                auto [it, fresh] = doubts_.try_emplace(h->name, Doubt{now.steady, h->placed.size()});
+                if (!fresh && now.steady - it->second.sinceS > 4 * settings_.reportS) it->second.sinceS = now.steady;
+            }
+            continue;
+        }
+        if (!draft.place(*start.job, start.tasks, start.attempt, static_cast<std::int64_t>(now.wall))) {
+            dirty_ = true;
+            return;
+        }
+    }
+}
+
+// ---------------------------------------------------------------- cloud
+
+void Core::set_machines(std::vector<wire::Machine> machines, Moment now) {
+    cloud_.machines = std::move(machines);
+    cloud_.atS = now.steady;
+    for (const auto& m : cloud_.machines) {
+        auto it = coming_.find(m.ref);
+        if (it != coming_.end() && m.phase == "failed") coming_.erase(it);
+    }
+}
+
+void Core::rented(const RentalOrder& order, const std::vector<std::string>& hosts, Moment now) {
+    for (const auto& h : hosts) coming_[h] = {order, now.steady};
+    if (hosts.size() < order.number) refused(order, now);
+}
+
+void Core::refused(const RentalOrder& order, Moment now) {
+    refusedUntil_[offer_key(order)] = now.steady + settings_.leaseS;
+}
+
+std::vector<RentalOrder> Core::rentals(Moment now) {
+    std::vector<RentalOrder> out;
+    if (view_->cloud_role() != settings_.member || view_->types().empty()) return out;
+    std::erase_if(coming_, [&](auto& e) {
+        HostRecord* h = view_->host(e.first);
+        const auto* t = view_->type(e.second.what.build);
+        return (h && (h->stamp || h->returnStamp)) || now.steady - e.second.sinceS > 4 * (t ? t->startupS : 60) + 30;
+    });
+    std::vector<placement::Offer> offers;
+    std::vector<std::uint32_t> coming;
+    std::vector<RentalOrder> kinds;
+    for (const auto& [sku, t] : view_->types())
+        for (const std::string& hall : t.halls)
+            for (bool loaner : {false, true}) {
+                RentalOrder kind{sku, hall, loaner, 0};
+                auto r = refusedUntil_.find(offer_key(kind));
+                offers.push_back({sku, hall, loaner, {t.cores, t.gpus, t.ramGb}, loaner ? t.lowPrice : t.rate,
+                                  t.startupS, r != refusedUntil_.end() && now.steady < r->second});
+                std::uint32_t n = 0;
+                for (const auto& [name, c] : coming_)
+                    n += c.what.build == sku && c.what.hall == hall && c.what.loaner == loaner;
+                coming.push_back(n);
+                kinds.push_back(kind);
+            }
+    Plan plan = make_plan(now);
+    std::vector<placement::Want> wants;
+    auto want = [&](const wire::JobSpec& s, std::uint32_t count) {
+        placement::Want w{need_of(s), count, {}};
+        for (const auto& o : offers) w.allowed.push_back(allows(s, o.build, o.hall, o.loaner));
+        wants.push_back(std::move(w));
+    };
+    for (const auto& [job, count] : plan.unmet) want(*job->spec, count);
+
+    // Ahead of demand: what usually arrives while a machine boots.
+    for (const auto& [order, job] : view_->queue()) {
+        if (!counted_.insert(job->id).second) continue;
+        LaneNote& lane = lanes_[job->spec->lane];
+        lane.last = *job->spec;
+        lane.arrivals.emplace_back(now.steady, job->spec->steps);
+    }
+    if (counted_.size() > 4096) std::erase_if(counted_, [&](const std::string& id) { return !view_->job(id); });
+    placement::Planner ahead(now.wall, plan.machines, weights(plan.machines.size()));
+    for (auto& [name, lane] : lanes_) {
+        double window = 4 * settings_.leaseS;
+        while (!lane.arrivals.empty() && now.steady - lane.arrivals.front().first > window) lane.arrivals.pop_front();
+        double tasks = 0;
+        for (const auto& [at, n] : lane.arrivals) tasks += n;
+        double boot = 0;
+        for (const auto& [sku, t] : view_->types())
+            if (need_of(lane.last).fits({t.cores, t.gpus, t.ramGb})) boot = std::max(boot, t.startupS);
+        auto target = static_cast<std::uint32_t>(std::ceil(tunables_.headroom * tasks * boot / window));
+        const app::Team* team = settings_.team(lane.last.crew);
+        if (team && team->gpusMax > 0 && lane.last.gpus > 0)
+            target = std::min(target, static_cast<std::uint32_t>(team->gpusMax / lane.last.gpus));
+        if (!target) continue;
+        Job probe;
+        probe.id = "headroom";
+        probe.spec = lane.last;
+        placement::Request r = request_of(probe, ahead.machines());
+        r.together = r.scatter = false;
+        r.count = target;
+        auto slots = ahead.place_batch(r, true);
+        if (slots.size() < target) want(lane.last, target - static_cast<std::uint32_t>(slots.size()));
+    }
+    // Machines that neither work nor headroom needs are surplus; the clock of each starts when it becomes so.
+    std::map<std::string, double> idle;
+    for (const auto& m : ahead.machines())
+        if (m.holds.empty()) idle[m.name] = idleSince_.count(m.name) ? idleSince_[m.name] : now.steady;
+    idleSince_ = std::move(idle);
+
+    for (const auto& r : placement::choose_rentals(offers, wants, coming, 20)) {
+        RentalOrder o = kinds[r.offer];
+        o.number = std::min(r.number, 50u);
+        out.push_back(o);
+    }
+    return out;
+}
+
+void Core::propose_returns(Draft& draft, Moment now) {
+    auto at = static_cast<std::int64_t>(now.wall);
+    for (auto& [name, n] : notes_) {
+        HostRecord* h = view_->host(name);
+        if (!kept_here(h) || h->returnStamp) continue;
+        bool faulty = n.failedJobs.size() >= 2 && n.failures >= 3;
+        // Expired, or never confirmed and silent since: only the cloud's word frees what the latter may hold.
+        bool lost = n.state != HostState::fenced && n.state != HostState::silent && n.lastReportS > 0 &&
+                    now.steady - n.lastReportS > 2 * settings_.leaseS;
+        if (faulty || lost) draft.mark_return(name, 0, at, false, faulty ? "faulty" : "lost");
+    }
+    if (view_->cloud_role() != settings_.member) return;
+    for (const auto& [name, h] : view_->hosts()) {
+        if (h->returned && h->placed.empty() && now.wall - h->returnedAtS > 3 * settings_.leaseS)
+            draft.forget_host(*h);
+        if (h->returnStamp || !h->stamp) continue;
+        // Nobody keeps it: either it finds another controller soon, or it is dead or cut off.
+        auto keeper = view_->members().find(h->keeper);
+        bool orphan = keeper == view_->members().end() || keeper->second.incarnation != h->incarnation;
+        auto [it, fresh] = strangeSince_.try_emplace(name, now.steady);
+        if (!orphan)
+            strangeSince_.erase(it);
+        else if (now.steady - it->second > 1.5 * settings_.leaseS)
+            draft.mark_return(name, 0, at, false, "orphan");
+        if (auto idle = idleSince_.find(name); idle != idleSince_.end() && h->placed.empty()) {
+            const auto* t = view_->type(h->build);
+            if (t && now.steady - idle->second > std::max(6 * settings_.leaseS, 3 * t->startupS))
+                draft.mark_return(name, 0, at, false, "surplus");
+        }
+    }
+    for (const auto& m : cloud_.machines) {
+        HostRecord* h = view_->host(m.ref);
+        if (h && h->returnStamp) continue;
+        const auto* t = view_->type(m.build);
+        double boot = t ? t->startupS : 60;
+        bool stuck = m.phase != "running" && (!h || !h->stamp) && m.heldS > 4 * boot + settings_.listLagS;
+        bool mute = m.phase == "running" && (!h || !h->stamp) && m.heldS > 6 * boot + 3 * settings_.leaseS;
+        if (m.phase == "failed" || stuck || mute)
+            draft.mark_return(m.ref, 0, at, false, m.phase == "failed" ? "failed" : "stuck");
+    }
+}
+
+std::vector<std::string> Core::returns_due(Moment now) {
+    std::vector<std::string> out;
+    if (view_->cloud_role() != settings_.member) return out;
+    for (const auto& [name, h] : view_->hosts()) {
+        if (!h->returnStamp || h->returned) continue;
+        // What runs there gets the time to save; a machine that is lost has nothing to save.
+        if (h->placed.empty() || now.wall - h->returnedAtS > settings_.leaseS / 2) out.push_back(name);
+        if (out.size() == 100) break;
+    }
+    return out;
+}
+
+void Core::mark_gone(Draft& draft, const std::vector<std::string>& hosts, Moment now) {
+    for (const std::string& name : hosts) {
+        HostRecord* h = view_->host(name);
+        if (h && h->returnStamp && !h->returned)
+            draft.mark_return(name, h->returnStamp, static_cast<std::int64_t>(now.wall), true, "returned");
+    }
+}
+
+}  // namespace wellstair::controller
--- /dev/null
+++ b/src/controller/service.cpp
@@ -0,0 +1,588 @@
+#include "controller/service.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+
+namespace wellstair::controller {
+
+using model::MemberState;
+using store::Outcome;
+using wire::Json;
+namespace keys = model::keys;
+
+namespace {
+
+// Ratios to the settings; the comments say what each leaves room for.
+constexpr double kMemberTtlPerLease = 0.25;  // of the workers' lease: a dead controller's jobs are taken up within it
+constexpr double kRenewPerTtl = 1.0 / 3;     // two renewals may fail
+constexpr double kStoreTimeoutS = 1.0;       // "usually under 10 ms, occasionally a few hundred"
+constexpr double kUserTimeoutS = 1.8;        // users wait 2 s for a poll
+constexpr double kSocketsForUsers = 0.8;
+
+std::uint64_t random_id() {
+    std::random_device d;
+    return (static_cast<std::uint64_t>(d()) << 20) ^ d();
+}
+
+// Built outside the coroutines: GCC 12 cannot compile such initialisers inside them.
+front::Response refusal(int status, const std::string& why) { return {status, {{"error", why}}, 0, ""}; }
+
+front::Response steer(const std::string& foreman) { return {421, {{"foreman", foreman}}, 0, ""}; }
+
+front::Response orders_reply(std::uint64_t baton, const std::vector<wire::Order>& orders) {
+    return {200, {{"baton", baton}, {"orders", to_json(orders)}}, 0, ""};
+}
+
+Answer phase_answer(int status, const std::string& id, const char* phase) {
+    return {status, {{"ref", id}, {"phase", phase}}, 0};
+}
+
+Answer busy_answer(const char* why) { return {503, {{"error", why}}, 1}; }
+
+Json registration(const std::string& name, std::uint64_t stamp, std::uint64_t incarnation, const std::string& zone,
+                  std::uint64_t hold) {
+    Json data = {{"inc", incarnation}, {"zone", zone}};
+    return {{"when", Json::array({{{"path", keys::member(name)}, {"stamp", stamp}}})},
+            {"apply", Json::array({{{"set", keys::member(name)}, {"data", data}, {"hold", hold}}})}};
+}
+
+Json role_holder(const std::string& name) { return {{"by", name}}; }
+
+Json type_list(const std::vector<wire::MachineType>& types) {
+    Json list = Json::array();
+    for (const auto& t : types) list.push_back(to_json(t));
+    return {{"builds", std::move(list)}};
+}
+
+front::Response unavailable(const char* why) { return {503, {{"error", why}}, 1, ""}; }
+
+front::Response to_response(const Answer& a) { return {a.status, a.body, a.retryAfterS, ""}; }
+
+}  // namespace
+
+Service::Service(asio::io_context& io, const app::Settings& s, Tunables tunables)
+    : io_(io),
+      settings_(s),
+      core_(s, tunables, random_id()),
+      store_(io, s),
+      cloud_(io, s),
+      channels_(io),
+      startedS_(net::steady_now()),
+      changed_(io),
+      work_(io),
+      userWork_(io),
+      barrierAsked_(io),
+      barrierDone_(io) {
+    front::Handlers h;
+    h.submit = [this](std::string b) { return on_submit(std::move(b)); };
+    h.checkin = [this](std::string b) { return on_checkin(std::move(b)); };
+    h.poll = [this](std::string id) { return on_poll(std::move(id)); };
+    h.withdraw = [this](std::string id) { return on_withdraw(std::move(id)); };
+    h.healthy = [this] { return healthy(); };
+    front_ = std::make_unique<front::Server>(io, s.front, static_cast<std::size_t>(kSocketsForUsers * s.maxSockets),
+                                             std::move(h));
+    mesh_ = std::make_unique<peers::Mesh>(
+        io, s, [this] { return core_.own_hint(net::steady_now() - store_.last_ok(), now()); },
+        [this](const peers::Hint& hint) { core_.set_hint(hint, now()); });
+}
+
+void Service::spawn(asio::awaitable<void> a) {
+    asio::co_spawn(io_, std::move(a), [](std::exception_ptr e) {
+        if (!e) return;
+        try {
+            std::rethrow_exception(e);
+        } catch (const std::exception& x) {
+            // A coroutine that ends by a defect would leave the process half alive: end it, the store has everything.
+            spdlog::critical("a defect: {}", x.what());
+            std::_Exit(3);
+        }
+    });
+}
+
+void Service::start() {
+    front_->start();
+    mesh_->start();
+    spawn(watch());
+    spawn(membership());
+    spawn(barriers());
+    spawn(rounds());
+    spawn(user_rounds());
+    spawn(cloud_work());
+    spawn(clockwork());
+}
+
+bool Service::healthy() const {
+    MemberState s = core_.member_state();
+    if (!core_.view_ready()) return false;
+    // In an outage that everybody has, staying in the balancer spares its slow return; answers are 503 meanwhile.
+    return s == MemberState::live || (s == MemberState::adrift && net::steady_now() - adriftSince_ < settings_.cancelS);
+}
+
+// ---------------------------------------------------------------- the state service
+
+void Service::judge_standing() {
+    double age = net::steady_now() - store_.last_ok();
+    bool silent = age > 1.5;
+    MemberState next;
+    if (!silent && core_.member_stamp()) {
+        next = MemberState::live;
+    } else if (core_.member_state() == MemberState::joining) {
+        next = MemberState::joining;
+    } else if (silent && core_.peer_has_store(now())) {
+        next = MemberState::alone;
+    } else if (silent && age > settings_.cancelS - settings_.leaseS * 1.01 - 1) {
+        // A withdrawal told elsewhere must end its tasks within cancel_s: a machine that we stop answering now ends
+        // them when its lease is over.
+        next = MemberState::alone;
+    } else if (silent) {
+        next = MemberState::adrift;
+    } else {
+        next = core_.member_state() == MemberState::live ? MemberState::adrift : core_.member_state();
+    }
+    if (next == MemberState::adrift && core_.member_state() != MemberState::adrift) adriftSince_ = net::steady_now();
+    core_.set_member_state(next);
+}
+
+asio::awaitable<void> Service::membership() {
+    const double ttl = kMemberTtlPerLease * settings_.leaseS;
+    for (;;) {
+        if (!core_.view_ready()) {
+            co_await changed_.wait(0.2);
+            continue;
+        }
+        if (!hold_) {
+            auto granted = co_await store_.grant(ttl, kStoreTimeoutS);
+            if (!granted) {
+                co_await net::sleep_for(io_, net::jitter(0.2));
+                continue;
+            }
+            hold_ = *granted;
+        }
+        if (!core_.member_stamp()) {
+            auto it = core_.view().members().find(settings_.member);
+            std::uint64_t stamp = it == core_.view().members().end() ? 0 : it->second.stamp;
+            Json txn = registration(settings_.member, stamp, core_.incarnation(), settings_.location, hold_);
+            auto r = co_await store_.commit(txn, 1, kStoreTimeoutS);
+            if (r.outcome == Outcome::no_lease) hold_ = 0;
+            if (r.outcome == Outcome::applied) {
+                co_await caught_up(r.epoch, kStoreTimeoutS);
+                spdlog::info("registered as {} at revision {}", settings_.member, r.epoch);
+                judge_standing();
+                work_.notify();
+            } else {
+                co_await barrier(kStoreTimeoutS);
+                co_await net::sleep_for(io_, net::jitter(0.1));
+            }
+            continue;
+        }
+        co_await net::sleep_for(io_, ttl * kRenewPerTtl);
+        auto r = co_await store_.renew(hold_, kStoreTimeoutS);
+        if (r == store::Client::Renewal::failed) {
+            co_await net::sleep_for(io_, 0.1);
+            r = co_await store_.renew(hold_, kStoreTimeoutS);
+        }
+        if (r == store::Client::Renewal::ended) {
+            spdlog::info("the member lease has ended");
+            hold_ = 0;
+            co_await barrier(kStoreTimeoutS);
+        }
+    }
+}
+
+void Service::apply(const store::FollowResult& r) {
+    bool moved = false;
+    double wall = net::wall_now();
+    for (const auto& c : r.news) {
+        if (c.stamp <= core_.view().epoch()) continue;
+        core_.view().apply(c.path, c.data ? &*c.data : nullptr, c.stamp, wall);
+        moved = true;
+    }
+    core_.view().advance(r.epoch);
+    if (moved) {
+        core_.touch();
+        work_.notify();
+    }
+    changed_.notify();
+}
+
+asio::awaitable<bool> Service::load() {
+    core_.reset_view();
+    double wall = net::wall_now();
+    // Pages are read one after the other: the watch replays from the first one's revision, and the view counts as
+    // ready once it has caught up with the last one's.
+    auto range = co_await store_.read_all(keys::kPrefix, [&](const store::Change& c) {
+        core_.view().apply(c.path, c.data ? &*c.data : nullptr, c.stamp, wall);
+    });
+    if (!range) co_return false;
+    core_.view().advance(range->first);
+    while (core_.view().epoch() < range->second) {
+        auto r = co_await store_.follow(keys::kPrefix, core_.view().epoch(), 0, kStoreTimeoutS);
+        if (r.kind != store::FollowResult::ok) co_return false;
+        apply(r);
+    }
+    core_.set_view_ready(true);
+    changed_.notify();
+    spdlog::info("read the state at revision {}: {} open jobs, {} hosts", core_.view().epoch(),
+                 core_.view().queue().size(), core_.view().hosts().size());
+    co_return true;
+}
+
+asio::awaitable<void> Service::watch() {
+    const double least = 4.0 * settings_.size() / settings_.stateRps;  // a quarter of our share of the requests
+    for (;;) {
+        if (!core_.view_ready()) {
+            if (!co_await load()) co_await net::sleep_for(io_, net::jitter(0.2));
+            continue;
+        }
+        double began = net::steady_now();
+        auto r = co_await store_.follow(keys::kPrefix, core_.view().epoch(), 5, 6.5);
+        if (r.kind == store::FollowResult::gone) {
+            core_.set_view_ready(false);
+            continue;
+        }
+        if (r.kind == store::FollowResult::ok) apply(r);
+        double took = net::steady_now() - began;
+        if (r.kind != store::FollowResult::ok)
+            co_await net::sleep_for(io_, net::jitter(0.2));
+        else if (took < least)
+            co_await net::sleep_for(io_, least - took);
+    }
+}
+
+// Reads up to this moment for everybody who asked before it was sent.
+asio::awaitable<void> Service::barriers() {
+    const double least = 4.0 * settings_.size() / settings_.stateRps;
+    for (;;) {
+        if (barrierWanted_ <= std::max(barrierOk_, barrierFailed_)) {
+            co_await barrierAsked_.wait(0.5);
+            // Also a sign of life when nobody asks: the watch alone would not notice a store that is gone.
+            if (barrierWanted_ <= std::max(barrierOk_, barrierFailed_) && net::steady_now() - store_.last_ok() < 0.5)
+                continue;
+        }
+        double began = net::steady_now();
+        std::uint64_t mine = barrierStarted_ = barrierWanted_;
+        if (core_.view_ready()) {
+            auto r = co_await store_.follow(keys::kPrefix, core_.view().epoch(), 0, kStoreTimeoutS);
+            if (r.kind == store::FollowResult::ok) {
+                apply(r);
+                barrierOk_ = mine;
+            } else {
+                if (r.kind == store::FollowResult::gone) core_.set_view_ready(false);
+                barrierFailed_ = mine;
+            }
+        } else {
+            barrierFailed_ = mine;
+        }
+        barrierDone_.notify();
+        double took = net::steady_now() - began;
+        co_await net::sleep_for(io_, std::max(0.001, least - took));
+    }
+}
+
+asio::awaitable<bool> Service::barrier(double timeoutS) {
+    double until = net::steady_now() + timeoutS;
+    std::uint64_t mine = barrierWanted_ = std::max(barrierWanted_, barrierStarted_ + 1);
+    barrierAsked_.notify();
+    while (barrierOk_ < mine) {
+        if (barrierFailed_ >= mine) co_return false;
+        double left = until - net::steady_now();
+        if (left <= 0) co_return false;
+        co_await barrierDone_.wait(left);
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> Service::caught_up(std::uint64_t epoch, double timeoutS) {
+    double until = net::steady_now() + timeoutS;
+    // The watch usually brings it at once; the barrier is the certain way.
+    if (core_.view().epoch() < epoch) co_await changed_.wait(0.01);
+    while (core_.view().epoch() < epoch) {
+        if (net::steady_now() > until) co_return false;
+        co_await barrier(until - net::steady_now());
+    }
+    co_return true;
+}
+
+// ---------------------------------------------------------------- rounds
+
+asio::awaitable<void> Service::rounds() {
+    for (;;) {
+        if (!core_.dirty()) co_await work_.wait(0.5);
+        double began = net::steady_now();
+        core_.tick(now());
+        double cost = 0;
+        if (core_.member_state() == MemberState::live && core_.view_ready()) {
+            double wait = store_.writes().wait_for(4, began);
+            if (wait > 0) co_await net::sleep_for(io_, std::min(wait, 0.5));
+            began = net::steady_now();
+            Draft draft = core_.round(now());
+            cost = net::steady_now() - began;
+            if (!draft.empty()) {
+                Txn txn = draft.build();
+                auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
+                if (spdlog::should_log(spdlog::level::debug)) {
+                    std::string about;
+                    for (const auto& a : txn.about) about += a + "; ";
+                    spdlog::debug("round: {} -> {} at {}", about, static_cast<int>(r.outcome), r.epoch);
+                }
+                if (r.outcome == Outcome::applied) {
+                    co_await caught_up(r.epoch, 2 * kStoreTimeoutS);
+                } else {
+                    // Refused or unknown: read back before the next decision.
+                    if (r.outcome == Outcome::busy || r.outcome == Outcome::unavailable)
+                        co_await net::sleep_for(io_, net::jitter(0.1));
+                    co_await barrier(kStoreTimeoutS);
+                    core_.touch();
+                }
+            }
+            began = net::steady_now();
+            send_commands();
+            cost += net::steady_now() - began;
+        }
+        // Under load rounds come further apart, and each takes more with it.
+        co_await net::sleep_for(io_, std::clamp(3 * cost, 0.01, settings_.reportS / 6));
+    }
+}
+
+asio::awaitable<void> Service::clockwork() {
+    for (;;) {
+        co_await net::sleep_for(io_, 0.25);
+        judge_standing();
+    }
+}
+
+void Service::send_commands() {
+    for (const std::string& host : core_.hosts_to_command(now())) {
+        if (channels_.busy(host)) continue;
+        auto* h = core_.view().host(host);
+        auto* n = core_.notes(host);
+        auto orders = core_.orders(host, true, now());
+        if (!h || !n || orders.empty()) continue;
+        core_.commands_sent(host, orders, now());
+        spawn(command(host, std::move(orders), h->stamp, n->tenure, n->address));
+    }
+}
+
+asio::awaitable<void> Service::command(std::string host, std::vector<wire::Order> orders, std::uint64_t baton,
+                                       std::uint64_t tenure, std::string address) {
+    auto r = co_await channels_.command(host, address, baton, tenure, orders, settings_.reportS * 0.6);
+    if (r.report && r.report->host == host) core_.digest(*r.report, false, now());
+    core_.commands_answered(host, orders, r.answered, baton);
+    if (!r.answered) spdlog::info("no answer from {} to {} commands", host, orders.size());
+    work_.notify();
+}
+
+asio::awaitable<void> Service::user_rounds() {
+    for (;;) {
+        if (ops_.empty()) {
+            co_await userWork_.wait(1);
+            continue;
+        }
+        if (core_.member_state() != MemberState::live || !core_.member_stamp() || !core_.view_ready()) {
+            for (auto& op : ops_) op->answer = busy_answer("the state service does not answer");
+            ops_.clear();
+            changed_.notify();
+            continue;
+        }
+        Draft draft = core_.new_draft();
+        std::vector<OpPtr> batch;
+        std::deque<OpPtr> rest;
+        for (auto& op : ops_) {
+            if (op->kind == UserOp::submit) {
+                if (auto known = core_.known(op->id))
+                    op->answer = known;
+                else if (draft.submit(op->spec, settings_.member, static_cast<std::int64_t>(net::wall_now())))
+                    batch.push_back(op);
+                else
+                    rest.push_back(op);
+            } else {
+                auto* job = core_.view().job(op->id);
+                if (!job || job->state != model::JobState::active)
+                    op->answer = core_.poll(op->id);
+                else if (draft.withdraw(*job))
+                    batch.push_back(op);
+                else
+                    rest.push_back(op);
+            }
+        }
+        ops_ = std::move(rest);
+        if (batch.empty()) {
+            changed_.notify();
+            continue;
+        }
+        Txn txn = draft.build();
+        auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
+        if (r.outcome == Outcome::applied) {
+            for (auto& op : batch)
+                op->answer = op->kind == UserOp::submit ? phase_answer(201, op->id, "queued")
+                                                        : phase_answer(200, op->id, "aborted");
+            changed_.notify();
+            co_await caught_up(r.epoch, kStoreTimeoutS);
+            continue;
+        }
+        bool again = r.outcome == Outcome::conflict || r.outcome == Outcome::unknown;
+        if (again) again = co_await barrier(kStoreTimeoutS);
+        for (auto& op : batch) {
+            if (again && net::steady_now() < op->deadline)
+                ops_.push_back(op);
+            else
+                op->answer = busy_answer("the state service does not take it now");
+        }
+        changed_.notify();
+    }
+}
+
+// ---------------------------------------------------------------- front
+
+asio::awaitable<front::Response> Service::run_op(OpPtr op) {
+    op->deadline = net::steady_now() + 2 * kUserTimeoutS;
+    ops_.push_back(op);
+    userWork_.notify();
+    while (!op->answer) co_await changed_.wait(1);
+    co_return to_response(*op->answer);
+}
+
+asio::awaitable<front::Response> Service::on_submit(std::string bytes) {
+    auto body = wire::decode(bytes);
+    if (!body) co_return refusal(400, "the body must be MessagePack without binary data");
+    if (!body->is_object()) co_return refusal(400, "the body must be a map");
+    auto ref = wire::text(*body, "ref");
+    auto parsed = wire::parse_job(*body);
+    auto* spec = std::get_if<wire::JobSpec>(&parsed);
+    bool unsure = false;
+    std::optional<std::string> never;
+    if (spec) never = core_.never_runs(*spec, unsure);
+    if (!spec || never || unsure) {
+        // An accepted job is never refused again, whatever its repeat looks like.
+        if (ref && wire::valid_job_ref(*ref)) {
+            if (!co_await barrier(kUserTimeoutS)) co_return unavailable("the state service does not answer");
+            if (auto known = core_.known(*ref)) co_return to_response(*known);
+        }
+        if (!spec) co_return refusal(400, std::get<wire::Invalid>(parsed).reason);
+        if (never) co_return refusal(422, *never);
+        co_return unavailable("the machine types are not known yet");
+    }
+    if (core_.view().final(spec->ref)) co_return to_response(*core_.known(spec->ref));
+    if (core_.view().job(spec->ref)) {
+        if (!co_await barrier(kUserTimeoutS)) co_return unavailable("the state service does not answer");
+        if (auto known = core_.known(spec->ref)) co_return to_response(*known);
+    }
+    auto op = std::make_shared<UserOp>();
+    op->kind = UserOp::submit;
+    op->id = spec->ref;
+    op->spec = std::move(*spec);
+    co_return co_await run_op(std::move(op));
+}
+
+asio::awaitable<front::Response> Service::on_poll(std::string id) {
+    // What is final never changes; everything else may have changed elsewhere a moment ago.
+    if (core_.view().final(id)) co_return to_response(core_.poll(id));
+    if (core_.member_state() != MemberState::live || !co_await barrier(kUserTimeoutS))
+        co_return unavailable("the state service does not answer");
+    co_return to_response(core_.poll(id));
+}
+
+asio::awaitable<front::Response> Service::on_withdraw(std::string id) {
+    if (core_.view().final(id)) co_return to_response(core_.poll(id));
+    if (core_.member_state() != MemberState::live || !co_await barrier(kUserTimeoutS))
+        co_return unavailable("the state service does not answer");
+    auto* job = core_.view().job(id);
+    if (!job || job->state != model::JobState::active) co_return to_response(core_.poll(id));
+    auto op = std::make_shared<UserOp>();
+    op->kind = UserOp::withdraw;
+    op->id = id;
+    co_return co_await run_op(std::move(op));
+}
+
+asio::awaitable<front::Response> Service::on_checkin(std::string bytes) {
+    auto body = wire::decode(bytes);
+    auto report = body ? wire::parse_report(*body) : std::nullopt;
+    if (!report) co_return refusal(400, "not a report");
+    // The worker gives up after 4 s; what it no longer waits for would only hold it here.
+    double until = net::steady_now() + 2.5;
+    for (;;) {
+        Admission a = core_.admit(*report, now());
+        if (a.kind == Admission::redirect) co_return steer(a.foreman);
+        if (a.kind == Admission::refuse) co_return unavailable("not entitled to act for the controllers now");
+        if (a.kind == Admission::kept) break;
+        core_.note_claim(*report);
+        work_.notify();
+        double left = until - net::steady_now();
+        if (left <= 0) co_return unavailable("the registration of the host is not durable yet");
+        co_await changed_.wait(std::min(left, 0.5));
+    }
+    core_.digest(*report, true, now());
+    auto* h = core_.view().host(report->host);
+    auto orders = core_.orders(report->host, false, now());
+    if (core_.dirty()) work_.notify();
+    co_return orders_reply(h->stamp, orders);
+}
+
+// ---------------------------------------------------------------- cloud
+
+asio::awaitable<void> Service::apply_draft(Draft draft) {
+    if (draft.empty()) co_return;
+    Txn txn = draft.build();
+    auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
+    if (r.outcome == Outcome::no_lease) hold_ = 0;
+    if (r.outcome == Outcome::applied)
+        co_await caught_up(r.epoch, kStoreTimeoutS);
+    else
+        co_await barrier(kStoreTimeoutS);
+}
+
+asio::awaitable<void> Service::cloud_work() {
+    double typesAt = -1e9, listAt = -1e9;
+    for (;;) {
+        co_await net::sleep_for(io_, net::jitter(0.5));
+        if (core_.member_state() != MemberState::live || !core_.member_stamp()) continue;
+        if (!core_.view().cloud_role_stamp()) {
+            Draft d = core_.new_draft();
+            d.put(keys::kCloudRole, 0, role_holder(settings_.member), hold_);
+            co_await apply_draft(std::move(d));
+            if (core_.view().cloud_role() == settings_.member) spdlog::info("took the cloud role");
+        }
+        if (core_.view().cloud_role() != settings_.member) continue;
+        double t = net::steady_now();
+        if (core_.view().types().empty() || t - typesAt > 60) {
+            if (auto types = co_await cloud_.types()) {
+                typesAt = t;
+                Draft d = core_.new_draft();
+                d.put(keys::kTypes, core_.view().types_stamp(), type_list(*types), 0);
+                co_await apply_draft(std::move(d));
+            }
+        }
+        if (t - listAt > std::max(2.0, settings_.listLagS / 2)) {
+            if (auto list = co_await cloud_.list()) {
+                listAt = t;
+                core_.set_machines(std::move(*list), now());
+            }
+        }
+        for (const RentalOrder& o : core_.rentals(now())) {
+            if (core_.view().cloud_role() != settings_.member) break;
+            // A request name is never used again, not even by another process: it carries the incarnation.
+            std::string ask = "r-" + std::to_string(core_.incarnation()) + "-" + std::to_string(++asks_);
+            cloud::RentResult r;
+            for (int tries = 0; tries < 2; ++tries) {
+                r = co_await cloud_.rent(ask, o.build, o.hall, o.loaner, o.number);
+                if (r.kind != cloud::RentResult::failed) break;
+            }
+            spdlog::info("rent {} {} in {}{}: {} machines", o.number, o.build, o.hall, o.loaner ? " (spot)" : "",
+                         r.hosts.size());
+            if (r.kind == cloud::RentResult::rented) core_.rented(o, r.hosts, now());
+            if (r.kind == cloud::RentResult::refused) core_.refused(o, now());
+        }
+        auto due = core_.returns_due(now());
+        if (!due.empty() && co_await cloud_.give_back(due)) {
+            spdlog::info("returned {} machines, first {}", due.size(), due.front());
+            Draft d = core_.new_draft();
+            core_.mark_gone(d, due, now());
+            co_await apply_draft(std::move(d));
+        }
+    }
+}
+
+}  // namespace wellstair::controller
--- /dev/null
+++ b/src/model/host.cpp
@@ -0,0 +1,38 @@
+#include "model/host.hpp"
+
+namespace wellstair::model {
+
+void HostNotes::take(const wire::Report& r, bool checkin, double nowS) {
+    tenure = r.tenure;
+    tick = r.tick;
+    baton = r.baton;
+    if (checkin) checkinTick = r.tick;
+    if (!r.address.empty()) address = r.address;
+    if (r.reclaimS)
+        reclaimS = nowS + *r.reclaimS;
+    else
+        reclaimS.reset();
+    std::map<TaskKey, Seen> now;
+    for (const auto& t : r.steps) {
+        TaskKey key{t.job, t.index};
+        auto it = now.find(key);
+        // Two attempts of one task can be listed: the later one counts, the earlier is to be removed once it is gone.
+        if (it != now.end() && it->second.attempt >= t.attempt) continue;
+        Seen s{t.attempt, t.phase, t.cause, t.kept, nowS};
+        if (auto old = tasks.find(key);
+            old != tasks.end() && old->second.attempt == t.attempt && old->second.phase == t.phase)
+            s.sinceS = old->second.sinceS;
+        now[key] = s;
+        if (auto st = starts.find(key); st != starts.end() && st->second.attempt == t.attempt) st->second.seen = true;
+    }
+    tasks = std::move(now);
+    std::erase_if(halts, [&](auto& e) { return !tasks.count(e.first); });
+}
+
+void HostNotes::begin_keepership() {
+    starts.clear();
+    halts.clear();
+    needFence = false;
+}
+
+}  // namespace wellstair::model
--- /dev/null
+++ b/src/model/host.hpp
@@ -0,0 +1,66 @@
+// What a keeper knows of one of its machines beyond the state service: the newest report, and which commands may
+// still be under way. Time is passed in.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "model/states.hpp"
+#include "wire/messages.hpp"
+
+namespace wellstair::model {
+
+using TaskKey = std::pair<std::string, std::uint32_t>;  // job, index
+
+struct Seen {
+    std::uint32_t attempt = 0;
+    wire::TaskPhase phase = wire::TaskPhase::pulling;
+    wire::Cause cause = wire::Cause::none;
+    bool kept = false;
+    double sinceS = 0;  // when this phase was first reported
+};
+
+struct StartNote {
+    std::uint32_t attempt = 0;
+    std::uint64_t tenure = 0;    // the session in which it was first sent
+    std::uint64_t tick = 0;      // the last report that was answered with it
+    double commandedS = -1e9;    // the last time it went out by /commands
+    bool seen = false;           // some report has listed it
+    int inFlight = 0;            // sent by /commands, reply outstanding
+    std::uint64_t unanswered = 0;  // baton of a /commands start that got no reply: it may execute minutes later
+};
+
+struct HaltNote {
+    std::uint32_t attempt = 0;
+    double sentS = -1e9;
+};
+
+struct HostNotes {
+    StateMachine<HostState, HostTraits> state{HostState::claiming};
+    std::uint64_t tenure = 0, tick = 0, baton = 0, checkinTick = 0;
+    double lastReportS = -1e9;      // when the last report that we answer with 200 came in
+    std::optional<double> reclaimS;  // steady time at which the cloud takes the machine
+    std::string address;
+    std::map<TaskKey, Seen> tasks;
+    std::map<TaskKey, StartNote> starts;
+    std::map<TaskKey, HaltNote> halts;
+    std::map<TaskKey, double> evict;  // tasks to be stopped (room for others, machine going away): since when
+    bool needFence = false;           // a start may be under way: register anew and wait for the host to confirm
+    int failures = 0;                 // errors in a row
+    std::set<std::string> failedJobs;
+    double quarantineUntilS = -1e9;
+    double idleSinceS = -1;
+
+    // Newer than everything seen before? Older reports are ignored: their task lists are as old as they are.
+    bool newer(const wire::Report& r) const {
+        return r.tenure > tenure || (r.tenure == tenure && r.tick > tick);
+    }
+    // Takes over the contents of a report, from a check-in or from the reply of a command.
+    void take(const wire::Report& r, bool checkin, double nowS);
+    // A new keepership: what was noted under the last one proves nothing any more.
+    void begin_keepership();
+};
+
+}  // namespace wellstair::model
--- /dev/null
+++ b/src/model/view.hpp
@@ -0,0 +1,168 @@
+// The typed picture of what the state service holds. Built from reads and from the watch alone; nothing here is a guess.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "model/states.hpp"
+#include "placement/cache.hpp"
+#include "wire/messages.hpp"
+
+namespace wellstair::model {
+
+using wire::Json;
+
+// The keys, all below one prefix so that a single watch sees every change.
+namespace keys {
+inline constexpr const char* kPrefix = "ws/";
+std::string member(const std::string& name);
+std::string job(const std::string& id);
+std::string active(const std::string& id);
+std::string chunk(const std::string& id, std::uint32_t chunk);
+std::string team(const std::string& name);
+std::string host(const std::string& name);
+std::string returned(const std::string& name);
+inline constexpr const char* kCloudRole = "ws/roles/cloud";
+inline constexpr const char* kTypes = "ws/types";
+}  // namespace keys
+
+struct HostRecord;
+
+struct Step {
+    StateMachine<StepState, StepTraits> state{StepState::open};
+    std::uint32_t attempt = 0;    // the last one given out
+    HostRecord* host = nullptr;   // while placed
+    std::uint64_t baton = 0;      // of the keepership under which it was placed
+    std::int64_t atS = 0;         // time of day of the intent
+};
+
+struct Chunk {
+    std::uint64_t stamp = 0;  // 0: not written yet, all steps open
+    std::vector<Step> steps;  // empty until first written
+    std::uint32_t done = 0, placed = 0;
+};
+
+struct Job {
+    std::string id;
+    std::optional<wire::JobSpec> spec;
+    StateMachine<JobState, JobTraits> state{JobState::active};
+    std::uint64_t jobStamp = 0, activeStamp = 0;
+    std::uint64_t order = 0;  // revision of the submission
+    std::int64_t atS = 0;     // time of day of the submission
+    std::string owner;
+    std::uint32_t stopAttempt = 0;  // gang: this attempt is being stopped in an orderly way
+    std::vector<Chunk> chunks;
+    std::uint32_t done = 0, placed = 0;
+
+    bool known() const { return spec && activeStamp; }
+    std::uint32_t open() const { return spec->steps - done - placed; }
+    bool gang() const { return spec->shape == wire::Shape::gang; }
+    Step step(std::uint32_t index, std::uint32_t chunkSize) const;
+};
+
+struct StepRef {
+    Job* job;
+    std::uint32_t index;
+    bool operator==(const StepRef&) const = default;
+};
+
+struct HostRecord {
+    std::string name, keeper, address, build, hall;
+    std::uint64_t stamp = 0;  // of hosts/NAME: the baton. 0: not registered
+    std::uint64_t incarnation = 0;
+    bool loaner = false;
+    std::uint64_t returnStamp = 0;  // of returns/NAME. 0: not being returned
+    bool returned = false;          // the cloud has said 200: nothing on it exists any more
+    std::int64_t returnedAtS = 0;
+    std::vector<StepRef> placed;
+    placement::ImageCache cache;
+};
+
+struct TeamRecord {
+    std::uint64_t stamp = 0;
+    std::int64_t cores = 0, gpus = 0;  // committed, in thousandths
+};
+
+struct MemberRecord {
+    std::uint64_t stamp = 0, incarnation = 0;
+};
+
+struct Final {
+    JobState state;
+    std::uint64_t stamp;
+};
+
+inline std::int64_t milli(double amount) { return static_cast<std::int64_t>(amount * 1000 + 0.5); }
+
+class View {
+  public:
+    // `chunkSize`: tasks per chunk, from the size limit of a value.
+    explicit View(std::uint32_t chunkSize) : chunkSize_(chunkSize) {}
+    View(const View&) = delete;
+
+    // One key as read or watched; `data` null means removed. Older than what is known: ignored.
+    void apply(const std::string& path, const Json* data, std::uint64_t stamp, double wallS);
+    // The watch has delivered everything up to this revision.
+    void advance(std::uint64_t epoch) { epoch_ = std::max(epoch_, epoch); }
+    std::uint64_t epoch() const { return epoch_; }
+
+    std::uint32_t chunk_size() const { return chunkSize_; }
+    std::uint32_t chunk_of(std::uint32_t index) const { return index / chunkSize_; }
+
+    Job* job(const std::string& id);
+    const Final* final(const std::string& id) const;
+    HostRecord* host(const std::string& name);
+    const wire::MachineType* type(const std::string& sku) const;
+    double fetch_rate(const std::string& sku) const;
+
+    // Open jobs in submission order.
+    const std::map<std::uint64_t, Job*>& queue() const { return queue_; }
+    const std::unordered_map<std::string, std::unique_ptr<HostRecord>>& hosts() const { return hosts_; }
+    const std::map<std::string, MemberRecord>& members() const { return members_; }
+    const std::map<std::string, TeamRecord>& teams() const { return teams_; }
+    const std::map<std::string, wire::MachineType>& types() const { return types_; }
+    std::uint64_t types_stamp() const { return typesStamp_; }
+    const std::string& cloud_role() const { return cloudRole_; }
+    std::uint64_t cloud_role_stamp() const { return cloudRoleStamp_; }
+    // Chunks whose job is over, by key: to be removed.
+    const std::map<std::string, std::uint64_t>& leftovers() const { return leftovers_; }
+    bool member_live(const std::string& name) const { return members_.count(name) > 0; }
+
+    static Json encode_chunk(const std::vector<Step>& steps);
+
+    // Called for every step that changes: the controller keeps its own notes by these.
+    std::function<void(Job&, std::uint32_t index, const Step& before, const Step& after)> on_step;
+
+  private:
+    Job& job_entry(const std::string& id);
+    void drop_if_over(const std::string& id);
+    void apply_job(const std::string& id, const Json* data, std::uint64_t stamp);
+    void apply_active(const std::string& id, const Json* data, std::uint64_t stamp);
+    void apply_chunk(const std::string& path, const std::string& rest, const Json* data, std::uint64_t stamp,
+                     double wallS);
+    void set_steps(Job& job, std::uint32_t chunk, std::vector<Step> steps, double wallS);
+    void change_step(Job& job, std::uint32_t index, Step& step, const Step& next, double wallS);
+    HostRecord& host_entry(const std::string& name);
+    void drop_host_if_unused(const std::string& name);
+
+    std::uint32_t chunkSize_;
+    std::uint64_t epoch_ = 0;
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+    std::unordered_map<std::string, Final> finals_;
+    std::map<std::uint64_t, Job*> queue_;
+    std::unordered_map<std::string, std::unique_ptr<HostRecord>> hosts_;
+    std::map<std::string, MemberRecord> members_;
+    std::map<std::string, TeamRecord> teams_;
+    std::map<std::string, wire::MachineType> types_;
+    std::uint64_t typesStamp_ = 0;
+    std::string cloudRole_;
+    std::uint64_t cloudRoleStamp_ = 0;
+    std::map<std::string, std::uint64_t> leftovers_;
+};
+
+}  // namespace wellstair::model
--- /dev/null
+++ b/src/peers/mesh.cpp
@@ -0,0 +1,81 @@
+#include "peers/mesh.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace wellstair::peers {
+
+using asio::ip::tcp;
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+
+namespace {
+constexpr double kIntervalS = 0.5;
+constexpr auto kPatience = std::chrono::milliseconds(1500);
+}  // namespace
+
+Mesh::Mesh(asio::io_context& io, const app::Settings& s, std::function<Hint()> own,
+           std::function<void(const Hint&)> heard)
+    : io_(io), settings_(s), acceptor_(io), own_(std::move(own)), heard_(std::move(heard)) {
+    tcp::endpoint at(asio::ip::make_address_v4(s.internal.host), s.internal.port);
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen(32);
+}
+
+void Mesh::start() {
+    asio::co_spawn(io_, accept(), asio::detached);
+    for (const auto& m : settings_.members) asio::co_spawn(io_, tell(m.peer), asio::detached);
+}
+
+asio::awaitable<void> Mesh::accept() {
+    for (;;) {
+        auto [ec, socket] = co_await acceptor_.async_accept(kAwait);
+        if (ec)
+            co_await net::sleep_for(io_, kIntervalS);
+        else if (open_ < 8 * settings_.members.size() + 8)
+            asio::co_spawn(io_, hear(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> Mesh::hear(tcp::socket socket) {
+    ++open_;
+    boost::beast::tcp_stream stream(std::move(socket));
+    for (;;) {
+        std::string bytes(sizeof(HintHeader), '\0');
+        stream.expires_after(std::chrono::seconds(10));
+        auto [e1, n1] = co_await asio::async_read(stream, asio::buffer(bytes), kAwait);
+        if (e1) break;
+        auto size = packed_size(bytes);
+        if (!size) break;
+        bytes.resize(*size);
+        auto [e2, n2] = co_await asio::async_read(
+            stream, asio::buffer(bytes.data() + sizeof(HintHeader), *size - sizeof(HintHeader)), kAwait);
+        if (e2) break;
+        if (auto hint = unpack(bytes)) heard_(*hint);
+    }
+    --open_;
+}
+
+asio::awaitable<void> Mesh::tell(app::Endpoint to) {
+    for (;;) {
+        boost::beast::tcp_stream stream(io_);
+        stream.expires_after(kPatience);
+        auto [ec] = co_await stream.async_connect(tcp::endpoint(asio::ip::make_address_v4(to.host), to.port), kAwait);
+        while (!ec) {
+            std::string bytes = pack(own_());
+            stream.expires_after(kPatience);
+            auto [we, n] = co_await asio::async_write(stream, asio::buffer(bytes), kAwait);
+            if (we) break;
+            co_await net::sleep_for(io_, kIntervalS);
+        }
+        co_await net::sleep_for(io_, net::jitter(kIntervalS));
+    }
+}
+
+}  // namespace wellstair::peers
--- /dev/null
+++ b/src/peers/packet.hpp
@@ -0,0 +1,47 @@
+// What controllers tell one another: packed structs by hand. Hints only, safety never depends on them.
+#pragma once
+
+#include <cstdint>
+#include <cstring>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wellstair::peers {
+
+inline constexpr std::uint32_t kMagic = 0x77737472;  // "wstr"
+inline constexpr std::uint16_t kVersion = 1;
+
+#pragma pack(push, 1)
+struct HintHeader {
+    std::uint32_t magic = kMagic;
+    std::uint16_t version = kVersion;
+    std::uint16_t hosts = 0;        // HostHint entries that follow
+    std::uint64_t incarnation = 0;  // of the sender
+    std::uint32_t storeAgeMs = 0;   // since the state service last answered the sender
+    std::uint8_t live = 0;          // the sender's member key stands
+    char member[31] = {};
+};
+
+struct HostHint {  // one of the sender's machines that cannot take work now
+    char name[32] = {};
+};
+#pragma pack(pop)
+
+static_assert(sizeof(HintHeader) == 52 && sizeof(HostHint) == 32);
+
+struct Hint {
+    std::string member;
+    std::uint64_t incarnation = 0;
+    double storeAgeS = 0;
+    bool live = false;
+    std::vector<std::string> unusable;
+};
+
+std::string pack(const Hint& hint);
+// Length of the whole message that starts with this header; nothing if it is none of ours.
+std::optional<std::size_t> packed_size(std::string_view header);
+std::optional<Hint> unpack(std::string_view bytes);
+
+}  // namespace wellstair::peers
--- /dev/null
+++ b/src/placement/lem.hpp
@@ -0,0 +1,89 @@
+// Locality and Eviction Mixed (PAPER section IV, algorithm 5) as pure functions over views of the machines.
+//
+// While some machine runs no task, machines are scored by when the image is ready (EFT); once each runs at least one,
+// by start + W x load + eviction penalty (LEA). The lowest score is taken and the resources held until start +
+// estimate, so that later tasks fit around what earlier ones were promised.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "placement/cache.hpp"
+
+namespace wellstair::placement {
+
+struct Need {
+    double cores = 0, gpus = 0, ramGb = 0;
+    Need& operator+=(const Need& o) { return cores += o.cores, gpus += o.gpus, ramGb += o.ramGb, *this; }
+    bool fits(const Need& room) const {
+        constexpr double e = 1e-6;
+        return cores <= room.cores + e && gpus <= room.gpus + e && ramGb <= room.ramGb + e;
+    }
+};
+inline Need operator-(const Need& a, const Need& b) { return {a.cores - b.cores, a.gpus - b.gpus, a.ramGb - b.ramGb}; }
+inline Need operator+(Need a, const Need& b) { return a += b; }
+
+struct Hold {
+    double from, until;
+    Need need;
+};
+
+struct Machine {
+    std::string name, build, hall;
+    bool loaner = false;
+    Need total;
+    double cacheGb = 0, fetchGbPerS = 0;
+    const ImageCache* cache = nullptr;
+    std::vector<Hold> holds;  // what runs and what was promised
+    bool busy = false;        // runs at least one task
+    double handicapS = 0;     // added to the score: machines under suspicion
+};
+
+struct Request {
+    Need need;
+    std::string image;
+    double imageGb = 0, expectS = 0;
+    std::uint32_t count = 0;
+    bool together = false, scatter = false;
+    std::uint32_t scatterCap = 0;                        // most tasks in one zone
+    std::vector<std::pair<std::string, std::uint32_t>> inHall;  // tasks that the job already has per zone
+    std::vector<bool> allowed;                           // by machine
+};
+
+struct Slot {
+    std::size_t machine = 0;
+    double start = 0;  // equal to the planner's now: start at once
+};
+
+struct Weights {
+    double w = 1;            // weight of the load term in LEA
+    double gpuCareS = 0;     // per machine: a task without GPUs on a machine that has them
+    enum class Mode { mixed, eft, lea } mode = Mode::mixed;  // the last two for ablations
+};
+
+class Planner {
+  public:
+    Planner(double now, std::vector<Machine> machines, Weights weights);
+
+    // Independent tasks: as many slots as there are tasks, soonest decisions first; tasks that fit nowhere get none.
+    std::vector<Slot> place_batch(const Request& r, bool startOnly);
+    // All tasks at one time, or nothing at all. Not possible now: the earliest common start is held for it.
+    std::vector<Slot> place_gang(const Request& r, bool startOnly);
+
+    const std::vector<Machine>& machines() const { return machines_; }
+    bool saturated() const;
+    double earliest(const Machine& m, const Need& need, double length) const;
+
+  private:
+    double score(const Machine& m, const Request& r, double start, bool saturated) const;
+    bool hall_ok(const Request& r, const std::string& hall) const;
+    void hold(std::size_t machine, double start, const Request& r);
+    std::optional<std::vector<Slot>> gang_at(Request r, double start);
+
+    double now_;
+    std::vector<Machine> machines_;
+    Weights weights_;
+};
+
+}  // namespace wellstair::placement
--- /dev/null
+++ b/src/store/client.hpp
@@ -0,0 +1,77 @@
+// The state service: its requests, our share of its rates, and time-outs.
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include "net/http.hpp"
+#include "wire/codec.hpp"
+
+namespace wellstair::store {
+
+namespace asio = boost::asio;
+using wire::Json;
+
+// A share of a rate that all controllers draw on. Grows slowly while requests are served and is cut when one is
+// refused, never below the even share.
+class Budget {
+  public:
+    Budget(double total, int members, double now);
+    void spend(double n, double now);
+    double wait_for(double n, double now);  // seconds until n can be spent, n at most the burst
+    double available(double now);
+    void served(double now);
+    void refused(double now);
+
+  private:
+    void refill(double now);
+    double total_, fair_, rate_, tokens_, at_;
+};
+
+enum class Outcome { applied, conflict, no_lease, busy, unavailable, unknown, malformed };
+
+struct CommitResult {
+    Outcome outcome = Outcome::unknown;
+    std::uint64_t epoch = 0;
+    std::vector<std::string> failed;
+};
+
+struct Change {
+    std::string path;
+    std::optional<Json> data;  // nothing: removed
+    std::uint64_t stamp = 0;
+};
+
+struct FollowResult {
+    enum Kind { ok, gone, failed } kind = failed;
+    std::uint64_t epoch = 0;
+    std::vector<Change> news;
+};
+
+class Client {
+  public:
+    Client(asio::io_context& io, const app::Settings& settings);
+
+    asio::awaitable<CommitResult> commit(const Json& txn, int writes, double timeoutS);
+    asio::awaitable<FollowResult> follow(const std::string& prefix, std::uint64_t since, double waitS, double timeoutS);
+    // All keys below the prefix; `epoch` is of the first page, where the watch has to begin. Nothing on failure.
+    asio::awaitable<std::optional<std::pair<std::uint64_t, std::uint64_t>>> read_all(
+        const std::string& prefix, std::function<void(const Change&)> each);
+    asio::awaitable<std::optional<std::uint64_t>> grant(double ttlS, double timeoutS);
+    enum class Renewal { renewed, ended, failed };
+    asio::awaitable<Renewal> renew(std::uint64_t hold, double timeoutS);
+
+    double last_ok() const { return lastOk_; }  // steady time of the last served request, as it was sent
+    Budget& writes() { return writes_; }
+    Budget& requests() { return requests_; }
+
+  private:
+    asio::awaitable<net::Reply> call(net::verb method, std::string target, std::string body, double timeoutS,
+                                     bool watch = false);
+    asio::io_context& io_;
+    net::HttpClient http_, watch_;
+    Budget requests_, writes_;
+    double lastOk_ = -1e9;
+};
+
+}  // namespace wellstair::store
--- /dev/null
+++ b/src/workers/channel.cpp
@@ -0,0 +1,47 @@
+#include "workers/channel.hpp"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <charconv>
+
+namespace wellstair::workers {
+
+bool Channels::busy(const std::string& host) const {
+    auto it = channels_.find(host);
+    return it != channels_.end() && it->second.busy;
+}
+
+asio::awaitable<CommandResult> Channels::command(std::string host, std::string address, std::uint64_t baton,
+                                                 std::uint64_t tenure, std::vector<wire::Order> orders,
+                                                 double timeoutS) {
+    CommandResult out;
+    Channel& channel = channels_[host];
+    if (!channel.http || channel.address != address) {
+        auto colon = address.rfind(':');
+        unsigned port = 0;
+        boost::system::error_code ec;
+        if (colon != std::string::npos) {
+            std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+            asio::ip::make_address_v4(address.substr(0, colon), ec);
+        }
+        if (colon == std::string::npos || ec || port == 0 || port > 65535) co_return out;
+        channel.address = address;
+        channel.http = std::make_shared<net::HttpClient>(
+            io_, app::Endpoint{address.substr(0, colon), static_cast<std::uint16_t>(port)});
+    }
+    channel.busy = true;
+    auto http = channel.http;
+    wire::Json body;
+    body["baton"] = baton;
+    body["tenure"] = tenure;
+    body["orders"] = to_json(orders);
+    net::Reply r = co_await http->request(net::verb::post, "/commands", wire::encode(body), timeoutS);
+    if (auto it = channels_.find(host); it != channels_.end()) it->second.busy = false;
+    if (r.outcome != net::Reply::answered) http->drop_idle();
+    out.answered = r.outcome != net::Reply::lost;
+    out.executed = r.ok();
+    if (r.outcome == net::Reply::answered && (r.status == 200 || r.status == 409))
+        if (auto reply = wire::decode(r.body)) out.report = wire::parse_report(*reply);
+    co_return out;
+}
+
+}  // namespace wellstair::workers
--- /dev/null
+++ b/src/workers/channel.hpp
@@ -0,0 +1,38 @@
+// Commands straight to a worker's address: one at a time for each host, over a kept connection.
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+
+#include "net/http.hpp"
+#include "wire/messages.hpp"
+
+namespace wellstair::workers {
+
+namespace asio = boost::asio;
+
+struct CommandResult {
+    bool answered = true;  // false: it may still be executed, minutes later
+    bool executed = false;
+    std::optional<wire::Report> report;
+};
+
+class Channels {
+  public:
+    explicit Channels(asio::io_context& io) : io_(io) {}
+    bool busy(const std::string& host) const;
+    asio::awaitable<CommandResult> command(std::string host, std::string address, std::uint64_t baton,
+                                           std::uint64_t tenure, std::vector<wire::Order> orders, double timeoutS);
+    void forget(const std::string& host) { channels_.erase(host); }
+
+  private:
+    struct Channel {
+        std::string address;
+        std::shared_ptr<net::HttpClient> http;
+        bool busy = false;
+    };
+    asio::io_context& io_;
+    std::unordered_map<std::string, Channel> channels_;
+};
+
+}  // namespace wellstair::workers
