--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -72,7 +72,9 @@
     std::vector<wire::Machine> out;
     std::string since;
     for (;;) {
-        net::Reply r = co_await call(net::verb::get, "/machines?page=500" + (since.empty() ? "" : "&since=" + since), "");
+        std::string target = "/machines?page=500";
+        if (!since.empty()) target += "&since=" + since;
+        net::Reply r = co_await call(net::verb::get, std::move(target), "");
         if (!r.ok()) co_return std::nullopt;
         auto body = wire::decode(r.body);
         const Json* hosts = body ? wire::list(*body, "hosts") : nullptr;
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <random>
+#include <utility>
 
 namespace wellstair::controller {
 
@@ -234,7 +235,8 @@
     const double least = 4.0 * settings_.size() / settings_.stateRps;  // a quarter of our share of the requests
     for (;;) {
         if (!core_.view_ready()) {
-            if (!co_await load()) co_await net::sleep_for(io_, net::jitter(0.2));
+            bool loaded = co_await load();
+            if (!loaded) co_await net::sleep_for(io_, net::jitter(0.2));
             continue;
         }
         double began = net::steady_now();
@@ -295,6 +297,13 @@
     co_return true;
 }
 
+// The view is of this moment. (GCC 12 miscompiles co_await inside || and &&: each stands in a statement of its own.)
+asio::awaitable<bool> Service::present() {
+    if (core_.member_state() != MemberState::live) co_return false;
+    bool ok = co_await barrier(kUserTimeoutS);
+    co_return ok;
+}
+
 asio::awaitable<bool> Service::caught_up(std::uint64_t epoch, double timeoutS) {
     double until = net::steady_now() + timeoutS;
     // The watch usually brings it at once; the barrier is the certain way.
@@ -425,6 +434,11 @@
         }
         bool again = r.outcome == Outcome::conflict || r.outcome == Outcome::unknown;
         if (again) again = co_await barrier(kStoreTimeoutS);
+        if (r.outcome == Outcome::busy) {
+            // The rate is refilled within a second: one more try is sooner than the user's own.
+            co_await net::sleep_for(io_, net::jitter(0.08));
+            for (auto& op : batch) again = again || !std::exchange(op->retried, true);
+        }
         for (auto& op : batch) {
             if (again && net::steady_now() < op->deadline)
                 ops_.push_back(op);
@@ -458,7 +472,8 @@
     if (!spec || never || unsure) {
         // An accepted job is never refused again, whatever its repeat looks like.
         if (ref && wire::valid_job_ref(*ref)) {
-            if (!co_await barrier(kUserTimeoutS)) co_return unavailable("the state service does not answer");
+            bool fresh = co_await present();
+            if (!fresh) co_return unavailable("the state service does not answer");
             if (auto known = core_.known(*ref)) co_return to_response(*known);
         }
         if (!spec) co_return refusal(400, std::get<wire::Invalid>(parsed).reason);
@@ -467,7 +482,8 @@
     }
     if (core_.view().final(spec->ref)) co_return to_response(*core_.known(spec->ref));
     if (core_.view().job(spec->ref)) {
-        if (!co_await barrier(kUserTimeoutS)) co_return unavailable("the state service does not answer");
+        bool fresh = co_await present();
+        if (!fresh) co_return unavailable("the state service does not answer");
         if (auto known = core_.known(spec->ref)) co_return to_response(*known);
     }
     auto op = std::make_shared<UserOp>();
@@ -480,15 +496,15 @@
 asio::awaitable<front::Response> Service::on_poll(std::string id) {
     // What is final never changes; everything else may have changed elsewhere a moment ago.
     if (core_.view().final(id)) co_return to_response(core_.poll(id));
-    if (core_.member_state() != MemberState::live || !co_await barrier(kUserTimeoutS))
-        co_return unavailable("the state service does not answer");
+    bool fresh = co_await present();
+    if (!fresh) co_return unavailable("the state service does not answer");
     co_return to_response(core_.poll(id));
 }
 
 asio::awaitable<front::Response> Service::on_withdraw(std::string id) {
     if (core_.view().final(id)) co_return to_response(core_.poll(id));
-    if (core_.member_state() != MemberState::live || !co_await barrier(kUserTimeoutS))
-        co_return unavailable("the state service does not answer");
+    bool fresh = co_await present();
+    if (!fresh) co_return unavailable("the state service does not answer");
     auto* job = core_.view().job(id);
     if (!job || job->state != model::JobState::active) co_return to_response(core_.poll(id));
     auto op = std::make_shared<UserOp>();
@@ -548,7 +564,8 @@
         if (core_.view().cloud_role() != settings_.member) continue;
         double t = net::steady_now();
         if (core_.view().types().empty() || t - typesAt > 60) {
-            if (auto types = co_await cloud_.types()) {
+            auto types = co_await cloud_.types();
+            if (types) {
                 typesAt = t;
                 Draft d = core_.new_draft();
                 d.put(keys::kTypes, core_.view().types_stamp(), type_list(*types), 0);
@@ -556,7 +573,8 @@
             }
         }
         if (t - listAt > std::max(2.0, settings_.listLagS / 2)) {
-            if (auto list = co_await cloud_.list()) {
+            auto list = co_await cloud_.list();
+            if (list) {
                 listAt = t;
                 core_.set_machines(std::move(*list), now());
             }
@@ -576,7 +594,9 @@
             if (r.kind == cloud::RentResult::refused) core_.refused(o, now());
         }
         auto due = core_.returns_due(now());
-        if (!due.empty() && co_await cloud_.give_back(due)) {
+        if (due.empty()) continue;
+        bool gone = co_await cloud_.give_back(due);
+        if (gone) {
             spdlog::info("returned {} machines, first {}", due.size(), due.front());
             Draft d = core_.new_draft();
             core_.mark_gone(d, due, now());
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -26,6 +26,7 @@
         std::string id;
         wire::JobSpec spec;
         double deadline = 0;
+        bool retried = false;
         std::optional<Answer> answer;
     };
     using OpPtr = std::shared_ptr<UserOp>;
@@ -38,6 +39,7 @@
     asio::awaitable<void> watch();
     asio::awaitable<void> barriers();
     asio::awaitable<bool> barrier(double timeoutS);
+    asio::awaitable<bool> present();
     asio::awaitable<bool> load();
     void apply(const store::FollowResult& r);
     asio::awaitable<bool> caught_up(std::uint64_t epoch, double timeoutS);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -36,9 +36,14 @@
     return seconds * std::uniform_real_distribution<double>(0.75, 1.25)(random);
 }
 
+void Signal::notify() {
+    for (auto& timer : waiters_) timer.cancel();
+}
+
 asio::awaitable<void> Signal::wait(double seconds) {
-    timer_.expires_after(duration(seconds));
-    co_await timer_.async_wait(kAwait);
+    auto mine = waiters_.emplace(waiters_.end(), io_, duration(seconds));
+    co_await mine->async_wait(kAwait);
+    waiters_.erase(mine);
 }
 
 asio::awaitable<void> sleep_for(asio::io_context& io, double seconds) {
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,21 +18,18 @@
 namespace asio = boost::asio;
 using boost::beast::http::verb;
 
-// Wakes coroutines that wait for something to happen.
+// Wakes coroutines that wait for something to happen. Each waiter has a timer of its own: with a shared one, every new
+// waiter would wake all the others.
 class Signal {
   public:
-    explicit Signal(asio::io_context& io) : timer_(io) {}
-    void notify() {
-        ++count_;
-        timer_.cancel();
-    }
+    explicit Signal(asio::io_context& io) : io_(io) {}
+    void notify();
     // Returns when notified or when the time is over.
     asio::awaitable<void> wait(double seconds);
-    std::uint64_t count() const { return count_; }
 
   private:
-    asio::steady_timer timer_;
-    std::uint64_t count_ = 0;
+    asio::io_context& io_;
+    std::list<asio::steady_timer> waiters_;
 };
 
 double steady_now();
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -56,7 +56,8 @@
                                          bool watch) {
     double sent = net::steady_now();
     requests_.spend(1, sent);
-    net::Reply r = co_await (watch ? watch_ : http_).request(method, std::move(target), std::move(body), timeoutS);
+    net::HttpClient& http = watch ? watch_ : http_;
+    net::Reply r = co_await http.request(method, std::move(target), std::move(body), timeoutS);
     if (r.outcome == net::Reply::answered && r.status != 503) {
         // A watch may have been open for long: only its reply tells of the present.
         lastOk_ = std::max(lastOk_, watch ? net::steady_now() - 0.1 : sent);
@@ -65,7 +66,7 @@
         else
             requests_.served(net::steady_now());
     } else if (r.outcome != net::Reply::answered) {
-        (watch ? watch_ : http_).drop_idle();
+        http.drop_idle();
     }
     co_return r;
 }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -67,8 +67,10 @@
         s.shape = Shape::batch;
     else if (shape == "gang")
         s.shape = Shape::gang;
+    else if (shape == "service")
+        s.shape = Shape::service;
     else if (bad.empty())
-        bad = "shape must be batch or gang";
+        bad = "shape must be batch, gang or service";
     auto rank = named<Rank>(kRanks, text(body, "rank").value_or(""));
     if (rank)
         s.rank = *rank;
@@ -83,7 +85,11 @@
     need_amount("gpus", s.gpus);
     need_amount("ramGb", s.ramGb);
     need_amount("imageGb", s.imageGb);
-    need_amount("expectS", s.expectS);
+    // A service has no run time to estimate: what it holds is planned as held for a long time.
+    if (s.shape == Shape::service && absent(body, "expectS"))
+        s.expectS = 86400;
+    else
+        need_amount("expectS", s.expectS);
     need_amount("snapshotS", s.snapshotS);
     need_amount("flushS", s.flushS);
     need_flag("together", s.together);
@@ -111,7 +117,7 @@
 
 Json to_json(const JobSpec& s) {
     Json j = {{"ref", s.ref},           {"lane", s.lane},
-              {"crew", s.crew},         {"shape", s.shape == Shape::gang ? "gang" : "batch"},
+              {"crew", s.crew},         {"shape", s.shape == Shape::gang ? "gang" : s.shape == Shape::service ? "service" : "batch"},
               {"rank", kRanks[static_cast<std::size_t>(s.rank)]},
               {"steps", s.steps},       {"cores", s.cores},
               {"gpus", s.gpus},         {"ramGb", s.ramGb},
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -12,7 +12,7 @@
 
 namespace wellstair::wire {
 
-enum class Shape : std::uint8_t { batch, gang };
+enum class Shape : std::uint8_t { batch, gang, service };  // service: independent tasks that run until cancelled
 enum class Rank : std::uint8_t { production, urgent, standard, best_effort };  // highest first
 
 struct JobSpec {
