--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -26,7 +26,7 @@
 };
 
 struct Tunables {
-    double leaWeight = 0;    // W; 0: the number of machines
+    double leaWeight = 1;    // W; 0: the number of machines
     double fetchGbPerS = 0;  // 0: what the cloud publishes for the type
     double headroom = 1;     // machines kept ahead of demand, as a multiple of what arrives during a boot
     placement::Weights::Mode mode = placement::Weights::Mode::mixed;
