--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -199,6 +199,7 @@
         n.state.become(HostState::fenced);
     }
     if (changed || !fencedBefore) dirty_ = true;
+    if (!fencedBefore || reclaimBefore != n.reclaimS.has_value()) planDue_ = true;
 }
 
 void Core::note_end(HostNotes& n, const std::string& host, const TaskKey& key, const model::Seen& seen, Moment now) {
@@ -236,6 +237,7 @@
     TaskKey key{job.id, index};
     if (before.host && before.host != after.host)
         if (HostNotes* n = notes(before.host->name)) n->evict.erase(key);
+    if (before.host) planDue_ = true;
     if (after.host && after.host != before.host) doubts_.erase(after.host->name);
 }
 
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -89,6 +89,7 @@
     bool tick(Moment now);  // time alone changes things: silent and expired hosts
     bool dirty() const { return dirty_; }
     void touch() { dirty_ = true; }
+    void touch_all() { dirty_ = planDue_ = true; }  // a transaction did not apply: propose it all again
     Draft new_draft();
 
     // --- cloud (the holder of the role)
@@ -157,6 +158,9 @@
     bool viewReady_ = false;
     model::StateMachine<model::MemberState, model::MemberTraits> member_{model::MemberState::joining};
     bool dirty_ = true;
+    bool planDue_ = true;        // something that placement depends on has changed
+    double plannedS_ = -1e9;     // when it was last planned
+    std::uint64_t lastOrder_ = 0;  // the newest job that was planned for
 
     std::unordered_map<std::string, model::HostNotes> notes_;
     std::unordered_map<std::string, wire::Report> claims_;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -201,6 +201,12 @@
 
 void Core::place(Draft& draft, Moment now) {
     if (view_->queue().empty()) return;
+    // Planning is the costly part of a round: only when something it depends on has changed, or time has passed.
+    std::uint64_t newest = view_->queue().rbegin()->first;
+    if (!planDue_ && newest == lastOrder_ && now.steady - plannedS_ < settings_.reportS / 6) return;
+    planDue_ = false;
+    lastOrder_ = newest;
+    plannedS_ = now.steady;
     Plan plan = make_plan(now);
     for (const auto& start : plan.starts) {
         bool wide = start.tasks.size() > 1;
@@ -213,7 +219,7 @@
             continue;
         }
         if (!draft.place(*start.job, start.tasks, start.attempt, static_cast<std::int64_t>(now.wall))) {
-            dirty_ = true;
+            dirty_ = planDue_ = true;
             return;
         }
     }
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -344,7 +344,7 @@
                     if (r.outcome == Outcome::busy || r.outcome == Outcome::unavailable)
                         co_await net::sleep_for(io_, net::jitter(0.1));
                     co_await barrier(kStoreTimeoutS);
-                    core_.touch();
+                    core_.touch_all();
                 }
             }
             began = net::steady_now();
@@ -553,7 +553,7 @@
 asio::awaitable<void> Service::cloud_work() {
     double typesAt = -1e9, listAt = -1e9;
     for (;;) {
-        co_await net::sleep_for(io_, net::jitter(0.5));
+        co_await net::sleep_for(io_, net::jitter(settings_.reportS / 3));
         if (core_.member_state() != MemberState::live || !core_.member_stamp()) continue;
         if (!core_.view().cloud_role_stamp()) {
             Draft d = core_.new_draft();
--- a/src/placement/lem.cpp
+++ b/src/placement/lem.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace wellstair::placement {
 namespace {
@@ -20,12 +21,14 @@
 }  // namespace
 
 Planner::Planner(double now, std::vector<Machine> machines, Weights weights)
-    : now_(now), machines_(std::move(machines)), weights_(weights) {}
+    : now_(now), machines_(std::move(machines)), weights_(weights) {
+    for (const Machine& m : machines_) idle_ += !m.busy;
+}
 
 bool Planner::saturated() const {
     if (weights_.mode == Weights::Mode::eft) return false;
     if (weights_.mode == Weights::Mode::lea) return true;
-    return std::all_of(machines_.begin(), machines_.end(), [](const Machine& m) { return m.busy; });
+    return idle_ == 0;
 }
 
 double Planner::earliest(const Machine& m, const Need& need, double length) const {
@@ -53,9 +56,15 @@
     return kNever;
 }
 
-double Planner::score(const Machine& m, const Request& r, double start, bool saturated) const {
+std::vector<double> Planner::cached_at(const Request& r) const {
+    std::vector<double> out;
+    out.reserve(machines_.size());
+    for (const Machine& m : machines_) out.push_back(m.cache ? m.cache->ready_at(r.image, now_) : -1);
+    return out;
+}
+
+double Planner::score(const Machine& m, const Request& r, double start, double cachedAt, bool saturated) const {
     double ready = start, fetchS = m.fetchGbPerS > 0 ? r.imageGb / m.fetchGbPerS : 0;
-    double cachedAt = m.cache ? m.cache->ready_at(r.image, now_) : -1;
     ready = cachedAt < 0 ? start + fetchS : std::max(start, cachedAt);
     double care = m.handicapS + (r.need.gpus <= 0 && m.total.gpus > 0 ? weights_.gpuCareS : 0);
     if (!saturated) return ready + care;
@@ -78,13 +87,16 @@
 void Planner::hold(std::size_t i, double start, const Request& r) {
     Machine& m = machines_[i];
     m.holds.push_back({start, start + std::max(r.expectS, 1e-3), r.need});
-    if (start <= now_) m.busy = true;
+    if (start <= now_ && !m.busy) {
+        m.busy = true;
+        --idle_;
+    }
 }
 
 std::vector<Slot> Planner::place_batch(const Request& request, bool startOnly) {
     Request r = request;
     std::vector<Slot> out;
-    std::vector<double> start(machines_.size(), kNever);
+    std::vector<double> start(machines_.size(), kNever), cached = cached_at(r);
     for (std::size_t i = 0; i < machines_.size(); ++i)
         if (r.allowed[i]) start[i] = earliest(machines_[i], r.need, r.expectS);
     for (std::uint32_t n = 0; n < r.count; ++n) {
@@ -93,7 +105,7 @@
         double bestScore = kNever;
         for (std::size_t i = 0; i < machines_.size(); ++i) {
             if (start[i] == kNever || (startOnly && start[i] > now_) || !hall_ok(r, machines_[i].hall)) continue;
-            double s = score(machines_[i], r, start[i], full);
+            double s = score(machines_[i], r, start[i], cached[i], full);
             if (s < bestScore) bestScore = s, best = i;
         }
         if (best == machines_.size()) break;
@@ -126,12 +138,13 @@
         return true;
     };
     bool full = saturated();
+    std::vector<double> cached = cached_at(r);
     for (std::uint32_t n = 0; n < r.count; ++n) {
         std::size_t best = machines_.size();
         double bestScore = kNever;
         for (std::size_t i = 0; i < machines_.size(); ++i) {
             if (!r.allowed[i] || !hall_ok(r, machines_[i].hall) || !room(machines_[i])) continue;
-            double s = score(machines_[i], r, at, full);
+            double s = score(machines_[i], r, at, cached[i], full);
             if (s < bestScore) bestScore = s, best = i;
         }
         if (best == machines_.size()) {
@@ -165,7 +178,8 @@
         return std::nullopt;
     };
     if (auto slots = attempt(now_)) {
-        for (const Slot& s : *slots) machines_[s.machine].busy = true;
+        for (const Slot& s : *slots)
+            if (!std::exchange(machines_[s.machine].busy, true)) --idle_;
         return *slots;
     }
     if (startOnly) return {};
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -76,7 +76,9 @@
     double earliest(const Machine& m, const Need& need, double length) const;
 
   private:
-    double score(const Machine& m, const Request& r, double start, bool saturated) const;
+    // `cachedAt`: when the image is usable there, -1 if absent.
+    double score(const Machine& m, const Request& r, double start, double cachedAt, bool saturated) const;
+    std::vector<double> cached_at(const Request& r) const;
     bool hall_ok(const Request& r, const std::string& hall) const;
     void hold(std::size_t machine, double start, const Request& r);
     std::optional<std::vector<Slot>> gang_at(Request r, double start);
@@ -84,6 +86,7 @@
     double now_;
     std::vector<Machine> machines_;
     Weights weights_;
+    std::size_t idle_ = 0;
 };
 
 }  // namespace wellstair::placement
