Beyond its limit, a team's jobs are ordered by what can still be in time

Change: within a rank, and only while a team asks for more than its limit, Moore and Hodgson's rule over the due times of the settings' objectives.

--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -126,6 +126,12 @@
         s.teams.push_back(std::move(team));
     }
     if (s.teams.empty()) r.fail("deployment.teams", "at least one team");
+    for (auto* t : r.tables(d, "deployment.", "objectives")) {
+        const std::string w = "deployment.objectives.";
+        Objective o{r.text(*t, w, "kind"), (*t)["class"].value_or(std::string()), r.amount_or_0(*t, w, "within_s"),
+                    r.amount_or_0(*t, w, "times")};
+        s.objectives.push_back(std::move(o));
+    }
     const auto& w = r.table(d, "deployment.", "workers");
     const std::string ww = "deployment.workers.";
     s.reportS = r.number(w, ww, "report_s", 0, true);
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -23,6 +23,12 @@
     double cpus = 0, cpusMax = 0, gpus = 0, gpusMax = 0;  // 0: none
 };
 
+// What users expect of a class of jobs. Only guides the order under overload.
+struct Objective {
+    std::string kind, lane;
+    double withinS = 0, times = 0;
+};
+
 struct Settings {
     std::string member, location;
     Endpoint front, internal;
@@ -30,6 +36,7 @@
     Endpoint cloud, state;
     double skewS = 0;
     std::vector<Team> teams;
+    std::vector<Objective> objectives;
     double reportS = 0, leaseS = 0, gangWaitS = 0, gangPeerS = 0, cancelS = 0;
     double stateRps = 0, stateWriteRps = 0, valueKb = 0;
     int txnOps = 0;
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -16,6 +16,7 @@
 #include "model/view.hpp"
 #include "peers/packet.hpp"
 #include "placement/lem.hpp"
+#include "placement/overload.hpp"
 #include "placement/rental.hpp"
 
 namespace wellstair::controller {
@@ -135,7 +136,9 @@
         int rank;
         bool beyond;
     };
-    std::vector<Queued> ordered_queue() const;
+    std::vector<Queued> ordered_queue(Moment now) const;
+    void order_overloaded(std::vector<Queued>& queue, Moment now) const;
+    std::vector<double> due_times(const wire::JobSpec& spec) const;
     struct Plan {
         struct Start {
             model::Job* job;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -112,7 +112,7 @@
     return r;
 }
 
-std::vector<Core::Queued> Core::ordered_queue() const {
+std::vector<Core::Queued> Core::ordered_queue(Moment now) const {
     std::vector<Queued> out;
     std::map<std::string, std::pair<double, double>> used;  // per team, in submission order
     for (const auto& [order, job] : view_->queue()) {
@@ -129,9 +129,61 @@
     std::stable_sort(out.begin(), out.end(), [](const Queued& a, const Queued& b) {
         return std::pair(a.rank, a.beyond) < std::pair(b.rank, b.beyond);
     });
+    order_overloaded(out, now);
     return out;
 }
 
+// By when users want such a job to be over, in seconds from its submission, dearest first.
+std::vector<double> Core::due_times(const wire::JobSpec& spec) const {
+    std::vector<double> out;
+    for (const auto& o : settings_.objectives) {
+        if (o.lane != spec.lane) continue;
+        if (o.kind == "deadline" && spec.dueS) out.push_back(*spec.dueS * (o.times > 0 ? o.times : 1));
+        if (o.kind == "finished" && o.withinS > 0) out.push_back(o.withinS);
+    }
+    if (out.empty() && spec.dueS) out.push_back(*spec.dueS);
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+// Where a team asks for more than its limit, submission order would make all of its jobs late one after the other.
+// Among its jobs of one rank the order then follows what can still be in time. Outside of that, and for all others,
+// submission order stays.
+void Core::order_overloaded(std::vector<Queued>& queue, Moment now) const {
+    std::map<std::pair<std::string, int>, std::vector<std::size_t>> groups;
+    for (std::size_t i = 0; i < queue.size(); ++i)
+        if (!due_times(*queue[i].job->spec).empty())
+            groups[{queue[i].job->spec->crew, queue[i].rank}].push_back(i);
+    for (const auto& [key, places] : groups) {
+        const app::Team* team = settings_.team(key.first);
+        if (!team || places.size() < 2) continue;
+        double wanted = 0;
+        bool byGpu = team->gpusMax > 0 && queue[places[0]].job->spec->gpus > 0;
+        double limit = byGpu ? team->gpusMax : team->cpusMax;
+        auto size = [&](const wire::JobSpec& s) { return byGpu ? s.gpus : s.cores; };
+        std::vector<placement::DueJob> jobs;
+        for (std::size_t i : places) {
+            const Job& job = *queue[i].job;
+            const wire::JobSpec& s = *job.spec;
+            double remaining = job.open() * s.expectS;
+            for (const auto& chunk : job.chunks)
+                if (chunk.placed)
+                    for (const Step& step : chunk.steps)
+                        if (step.state == StepState::placed)
+                            remaining += std::max(s.expectS / 5, s.expectS - (now.wall - step.atS));
+            wanted += size(s) * (s.steps - job.done);
+            placement::DueJob d{remaining * size(s), s.expectS, due_times(s)};
+            for (double& due : d.due) due -= now.wall - job.atS;
+            jobs.push_back(std::move(d));
+        }
+        if (limit <= 0 || wanted <= limit) continue;
+        auto order = placement::order_by_due(jobs, limit);
+        std::vector<Queued> sorted;
+        for (std::size_t k : order) sorted.push_back(queue[places[k]]);
+        for (std::size_t k = 0; k < places.size(); ++k) queue[places[k]] = sorted[k];
+    }
+}
+
 Core::Plan Core::make_plan(Moment now) {
     Plan plan;
     std::vector<HostRecord*> records;
@@ -147,7 +199,7 @@
     }
     // Promises are made to the first of the queue only; behind them, tasks start where they disturb no promise.
     std::size_t promises = 2 * count + 8;
-    for (const Queued& q : ordered_queue()) {
+    for (const Queued& q : ordered_queue(now)) {
         Job& job = *q.job;
         const wire::JobSpec& s = *job.spec;
         if (auto it = jobNotes_.find(job.id); it != jobNotes_.end() && now.steady < it->second.notBeforeS) continue;
