--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -49,6 +49,10 @@
     auto chunk = static_cast<std::uint32_t>(std::max(1.0, settings_.valueKb * 1024 / 64));
     view_ = std::make_unique<model::View>(chunk);
     view_->on_step = [this](Job& j, std::uint32_t i, const Step& b, const Step& a) { on_step(j, i, b, a); };
+    // A new baton, ours again or somebody else's: until the host confirms it, older commands may still reach the host.
+    view_->on_registered = [this](HostRecord& h) {
+        if (HostNotes* n = notes(h.name)) n->begin_keepership();
+    };
     viewReady_ = false;
 }
 
--- a/src/model/host.cpp
+++ b/src/model/host.cpp
@@ -33,6 +33,9 @@
     starts.clear();
     halts.clear();
     needFence = false;
+    if (state == HostState::fenced || state == HostState::silent || state == HostState::expired)
+        state.become(HostState::claiming);
+    if (state == HostState::claiming) state.become(HostState::kept);
 }
 
 }  // namespace wellstair::model
--- a/src/model/view.cpp
+++ b/src/model/view.cpp
@@ -105,6 +105,7 @@
             h.hall = data->value("hall", "");
             h.loaner = data->value("loaners", false);
             if (const auto* t = type(h.build)) h.cache.set_capacity(t->cacheGb);
+            if (on_registered) on_registered(h);
         } else {
             h.stamp = 0;
             h.keeper.clear();
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -137,6 +138,8 @@
 
     // Called for every step that changes: the controller keeps its own notes by these.
     std::function<void(Job&, std::uint32_t index, const Step& before, const Step& after)> on_step;
+    // Called when a host is registered anew: everything noted under the last baton proves nothing any more.
+    std::function<void(HostRecord&)> on_registered;
 
   private:
     Job& job_entry(const std::string& id);
--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,161 @@
+#include <gtest/gtest.h>
+
+#include "placement/lem.hpp"
+#include "placement/overload.hpp"
+#include "placement/rental.hpp"
+
+using namespace wellstair::placement;
+
+namespace {
+
+struct Site {
+    std::vector<ImageCache> caches;
+    std::vector<Machine> machines;
+    explicit Site(int n) {
+        for (int i = 0; i < n; ++i) caches.emplace_back(10.0);
+        for (int i = 0; i < n; ++i) {
+            Machine m;
+            m.name = "n-" + std::to_string(i);
+            m.hall = i % 2 ? "b" : "a";
+            m.total = {8, 0, 32};
+            m.cacheGb = 10, m.fetchGbPerS = 0.1;
+            m.cache = &caches[i];
+            machines.push_back(m);
+        }
+    }
+    void run(int i, double until, Need need = {8, 0, 8}) {
+        machines[i].busy = true;
+        machines[i].holds.push_back({0, until, need});
+    }
+};
+
+Request request(std::size_t machines, std::uint32_t count = 1) {
+    Request r;
+    r.need = {8, 0, 8};
+    r.image = "img", r.imageGb = 1, r.expectS = 50, r.count = count;
+    r.allowed.assign(machines, true);
+    return r;
+}
+
+// PAPER, algorithm 5: with an idle machine left, the earliest image-ready time decides.
+TEST(Lem, WithAnIdleMachineTheImageReadyFirstWins) {
+    Site s(2);
+    s.caches[1].ready("img", 1, 0);
+    Planner p(100, s.machines, {});
+    EXPECT_EQ(p.place_batch(request(2), false)[0].machine, 1u);
+}
+
+// A fetch under way counts with its end, not as a whole fetch.
+TEST(Lem, AFetchUnderWayCountsWithItsEnd) {
+    Site s(2);
+    s.caches[1].fetch("img", 1, 95, 103);
+    Planner p(100, s.machines, {});
+    EXPECT_EQ(p.place_batch(request(2), false)[0].machine, 1u);
+}
+
+// Once every machine runs something, W decides between a wait for a warm slot and a fetch.
+TEST(Lem, SaturatedWeightDecidesBetweenWaitingAndFetching) {
+    for (auto [w, machine] : {std::pair(1.0, 0u), std::pair(10.0, 1u)}) {
+        Site s(2);
+        s.caches[1].ready("img", 1, 0);
+        s.run(0, 200, {1, 0, 1});  // runs something, has room, lacks the image: 10 s to fetch
+        s.machines[0].total = {9, 0, 32};
+        s.run(1, 130);             // warm, free in 30 s
+        Weights weights;
+        weights.w = w;
+        Planner p(100, s.machines, weights);
+        auto slots = p.place_batch(request(2), false);
+        EXPECT_EQ(slots[0].machine, machine) << w;
+        EXPECT_EQ(slots[0].start, machine == 0 ? 100 : 130);
+    }
+}
+
+// What was promised to an earlier task is held: a later one may slip in only if it is over in time.
+TEST(Lem, PromisesAreKept) {
+    Site s(1);
+    s.run(0, 130, {4, 0, 4});
+    Planner p(100, s.machines, {});
+    EXPECT_EQ(p.place_batch(request(1), false)[0].start, 130);
+    Request small = request(1);
+    small.need = {4, 0, 4}, small.expectS = 50;
+    EXPECT_GT(p.place_batch(small, false)[0].start, 100);
+    small.expectS = 20;
+    EXPECT_EQ(p.place_batch(small, false)[0].start, 100);
+}
+
+TEST(Lem, EvictionPenaltyBreaksTheTie) {
+    Site s(2);
+    s.caches[0].ready("old", 8, 0);
+    s.run(0, 200, {1, 0, 1});
+    s.run(1, 200, {1, 0, 1});
+    for (auto& m : s.machines) m.total = {9, 0, 32};
+    Planner p(100, s.machines, {});
+    EXPECT_EQ(p.place_batch(request(2), false)[0].machine, 1u);
+}
+
+TEST(Lem, GangsStartWholeOrNotAtAll) {
+    Site s(3);
+    s.run(2, 140);
+    Planner p(100, s.machines, {});
+    auto slots = p.place_gang(request(3, 3), false);
+    ASSERT_EQ(slots.size(), 3u);
+    for (const auto& slot : slots) EXPECT_EQ(slot.start, 140);  // held for the moment at which all fit
+    EXPECT_TRUE(Planner(100, s.machines, {}).place_gang(request(3, 3), true).empty());
+    EXPECT_TRUE(Planner(100, s.machines, {}).place_gang(request(3, 4), false).empty());
+}
+
+TEST(Lem, ZonesOfAGang) {
+    Site s(4);  // zones a, b, a, b
+    Request together = request(4, 2);
+    together.together = true;
+    auto slots = Planner(100, s.machines, {}).place_gang(together, true);
+    ASSERT_EQ(slots.size(), 2u);
+    EXPECT_EQ(s.machines[slots[0].machine].hall, s.machines[slots[1].machine].hall);
+    Request scatter = request(4, 3);
+    scatter.scatter = true, scatter.scatterCap = 2;
+    slots = Planner(100, s.machines, {}).place_gang(scatter, true);
+    ASSERT_EQ(slots.size(), 3u);
+    int inA = 0;
+    for (const auto& slot : slots) inA += s.machines[slot.machine].hall == "a";
+    EXPECT_LE(inA, 2);
+    EXPECT_GE(inA, 1);
+}
+
+TEST(Cache, LeastRecentlyUsedGoesFirstAndUnfinishedFetchesAreGivenUp) {
+    ImageCache c(10);
+    c.ready("a", 4, 1);
+    c.ready("b", 4, 2);
+    c.ready("a", 4, 3);
+    c.ready("d", 4, 4);
+    EXPECT_LT(c.ready_at("b", 5), 0);
+    EXPECT_EQ(c.ready_at("a", 5), 5);
+    c.fetch("e", 1, 5, 20);
+    EXPECT_EQ(c.ready_at("e", 6), 20);
+    c.release("e", 7);
+    EXPECT_LT(c.ready_at("e", 8), 0);
+}
+
+TEST(Overload, AsManyAsPossibleAreInTime) {
+    // One job of 100 s would make the three short ones late; it steps back.
+    std::vector<DueJob> jobs = {{100, 10, {110, 300}}, {30, 10, {120}}, {30, 10, {130}}, {30, 10, {140}}};
+    EXPECT_EQ(order_by_due(jobs, 1), (std::vector<std::size_t>{1, 2, 3, 0}));
+    // What is late at every level keeps the given order behind the rest.
+    jobs = {{10, 10, {-5, -1}}, {10, 10, {-9}}, {10, 10, {50}}};
+    EXPECT_EQ(order_by_due(jobs, 1), (std::vector<std::size_t>{2, 0, 1}));
+}
+
+TEST(Rental, CheapestPerTaskAndWhatIsComingIsFilledFirst) {
+    std::vector<Offer> offers(2);
+    offers[0].total = {8, 0, 32}, offers[0].rate = 1;
+    offers[1].total = {64, 0, 256}, offers[1].rate = 4;
+    Want w{{8, 0, 8}, 9, {true, true}};
+    auto r = choose_rentals(offers, {w}, {0, 0}, 20);
+    ASSERT_EQ(r.size(), 2u);
+    EXPECT_EQ(r[0].number, 1u);
+    EXPECT_EQ(r[1].number, 1u);
+    EXPECT_TRUE(choose_rentals(offers, {w}, {1, 1}, 20).empty());
+    offers[0].refused = offers[1].refused = true;
+    EXPECT_TRUE(choose_rentals(offers, {w}, {0, 0}, 20).empty());
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,288 @@
+#include "world.hpp"
+
+#include <sstream>
+#include <stdexcept>
+
+namespace wellstair::test {
+
+using controller::Admission;
+using wire::Json;
+
+std::uint64_t Store::stamp(const std::string& path) const {
+    auto it = keys_.find(path);
+    return it == keys_.end() ? 0 : it->second.second;
+}
+
+std::string Store::commit(const Json& txn) {
+    std::string failed;
+    for (const Json& w : txn["when"])
+        if (stamp(w["path"]) != w["stamp"].get<std::uint64_t>()) failed += " " + w["path"].get<std::string>();
+    if (!failed.empty()) return "conflict" + failed;
+    ++epoch;
+    for (const Json& op : txn["apply"]) {
+        if (op.contains("set")) {
+            keys_[op["set"]] = {op["data"], epoch};
+            log.push_back({op["set"], op["data"], epoch});
+        } else {
+            keys_.erase(op["remove"].get<std::string>());
+            log.push_back({op["remove"], std::nullopt, epoch});
+        }
+    }
+    return "ok " + std::to_string(epoch);
+}
+
+World::World() {
+    settings_.location = "a";
+    settings_.teams = {{"red", 16, 16, 2, 4}, {"blue", 8, 0, 0, 0}};
+    settings_.reportS = 3, settings_.leaseS = 20, settings_.gangWaitS = 30, settings_.gangPeerS = 8;
+    settings_.cancelS = 45;
+    settings_.stateRps = 100, settings_.stateWriteRps = 50, settings_.valueKb = 8, settings_.txnOps = 16;
+    settings_.cloudRps = 5, settings_.listLagS = 3, settings_.cores = 1, settings_.ramMb = 100;
+    settings_.maxSockets = 1000;
+}
+
+World::Controller& World::at(const std::string& name) {
+    auto it = controllers_.find(name);
+    if (it == controllers_.end()) throw std::runtime_error("no controller " + name);
+    return it->second;
+}
+
+void World::sync(Controller& c) {
+    auto& view = c.core->view();
+    for (const auto& change : store_.log)
+        if (change.stamp > view.epoch())
+            view.apply(change.path, change.data ? &*change.data : nullptr, change.stamp, now().wall);
+    view.advance(store_.epoch);
+    c.core->touch_all();
+}
+
+std::string World::commit(Controller& c, const controller::Draft& draft) {
+    if (draft.empty()) return "nothing";
+    auto txn = draft.build();
+    std::string result = store_.commit(txn.body);
+    if (result.starts_with("ok")) sync(c);
+    std::string out;
+    for (const auto& a : txn.about) out += a + "; ";
+    return out + (result.starts_with("ok") ? "applied" : result);
+}
+
+namespace {
+
+std::string show(const std::vector<wire::Order>& orders) {
+    static const char* verbs[] = {"start", "halt", "reap"};
+    std::string out;
+    for (const auto& o : orders) {
+        out += std::string(out.empty() ? "" : ", ") + verbs[static_cast<int>(o.verb)] + " " +
+               wire::step_name(o.job, o.index) + "#" + std::to_string(o.attempt);
+        if (o.verb == wire::Verb::halt && o.windDownS > 0) out += " saving";
+    }
+    return out.empty() ? "none" : out;
+}
+
+wire::JobSpec spec_of(const std::string& ref, std::istringstream& in) {
+    Json j = {{"ref", ref},        {"lane", "work"},     {"crew", "blue"},   {"shape", "batch"},  {"rank", "standard"},
+              {"steps", 1},        {"cores", 4.0},       {"gpus", 0.0},      {"ramGb", 4.0},      {"bundle", "img"},
+              {"imageGb", 1.0},    {"together", false},  {"scatter", false}, {"loaners", false},  {"expectS", 60.0},
+              {"snapshotS", 10.0}, {"flushS", 2.0}};
+    std::string pair;
+    while (in >> pair) {
+        auto eq = pair.find('=');
+        std::string key = pair.substr(0, eq), value = pair.substr(eq + 1);
+        Json parsed = Json::parse(value, nullptr, false);
+        j[key] = parsed.is_discarded() ? Json(value) : parsed;
+    }
+    auto parsed = wire::parse_job(j);
+    if (auto* bad = std::get_if<wire::Invalid>(&parsed)) throw std::runtime_error(bad->reason);
+    return std::get<wire::JobSpec>(parsed);
+}
+
+// HOST TENURE TICK BATON [reclaim=S] [j-1/0#1=running ...]
+wire::Report report_of(std::istringstream& in) {
+    wire::Report r;
+    in >> r.host >> r.tenure >> r.tick >> r.baton;
+    r.address = "10.1.0.1:9000";
+    r.build = "c8", r.hall = "a";
+    std::string word;
+    while (in >> word) {
+        auto eq = word.find('=');
+        std::string key = word.substr(0, eq), value = word.substr(eq + 1);
+        if (key == "reclaim") {
+            r.reclaimS = std::stod(value);
+            continue;
+        }
+        if (key == "build") {
+            r.build = value;
+            continue;
+        }
+        if (key == "hall") {
+            r.hall = value;
+            continue;
+        }
+        auto hash = key.find('#');
+        auto step = wire::parse_step(key.substr(0, hash));
+        wire::TaskReport t;
+        t.job = step->first, t.index = step->second;
+        t.attempt = static_cast<std::uint32_t>(std::stoul(key.substr(hash + 1)));
+        if (value == "running") t.phase = wire::TaskPhase::running;
+        if (value == "waiting") t.phase = wire::TaskPhase::waiting;
+        if (value == "done") t.phase = wire::TaskPhase::ended, t.cause = wire::Cause::done;
+        if (value == "halted") t.phase = wire::TaskPhase::ended, t.cause = wire::Cause::halted;
+        if (value == "error") t.phase = wire::TaskPhase::ended, t.cause = wire::Cause::error;
+        if (value == "peers") t.phase = wire::TaskPhase::ended, t.cause = wire::Cause::peers;
+        r.steps.push_back(t);
+    }
+    return r;
+}
+
+std::string show(const controller::Answer& a) {
+    std::string out = std::to_string(a.status);
+    if (a.body.contains("phase")) out += " " + a.body["phase"].get<std::string>();
+    if (a.body.contains("done"))
+        out += " done=" + std::to_string(a.body["done"].get<int>()) +
+               " running=" + std::to_string(a.body["running"].get<int>());
+    return out;
+}
+
+}  // namespace
+
+std::string World::run(const std::string& line) {
+    std::istringstream in(line);
+    std::string verb, name;
+    in >> verb;
+    if (verb == "controllers") {
+        std::vector<std::string> names;
+        while (in >> name) names.push_back(name);
+        for (const auto& n : names) {
+            Controller& c = controllers_[n];
+            c.settings = settings_;
+            c.settings.member = n;
+            c.settings.location = n;  // a machine in hall a prefers controller a
+            for (const auto& other : names)
+                if (other != n) c.settings.members.push_back({other, other, {}});
+        }
+        Json types = {{"builds",
+                       {{{"sku", "c8"}, {"cores", 8}, {"gpus", 0}, {"ramGb", 32}, {"cacheGb", 50}, {"fetchGbPerS", 1},
+                         {"rate", 1}, {"lowPrice", 0.3}, {"startupS", 20}, {"halls", {"a", "b"}}},
+                        {{"sku", "g8"}, {"cores", 8}, {"gpus", 2}, {"ramGb", 32}, {"cacheGb", 50}, {"fetchGbPerS", 1},
+                         {"rate", 9}, {"lowPrice", 3}, {"startupS", 20}, {"halls", {"a", "b"}}}}}};
+        store_.commit({{"when", Json::array()},
+                       {"apply", {{{"set", "ws/types"}, {"data", types}}}}});
+        return "";
+    }
+    if (verb == "wait") {
+        double s = 0;
+        in >> s;
+        time_ += s;
+        return "";
+    }
+    if (verb == "expire") {  // the state service ends a member's lease
+        in >> name;
+        store_.commit({{"when", Json::array()}, {"apply", {{{"remove", "ws/members/" + name}}}}});
+        return "";
+    }
+    in >> name;
+    if (verb == "join") {  // a new process under this name
+        Controller& c = at(name);
+        c.core = std::make_unique<controller::Core>(c.settings, controller::Tunables{}, ++incarnations_);
+        sync(c);
+        store_.commit({{"when", Json::array()},
+                       {"apply", {{{"set", "ws/members/" + name}, {"data", {{"inc", incarnations_}}}}}}});
+        sync(c);
+        c.core->set_view_ready(true);
+        c.core->set_member_state(model::MemberState::live);
+        return "";
+    }
+    Controller& c = at(name);
+    controller::Core& core = *c.core;
+    std::string arg;
+    if (verb == "sync") return sync(c), "";
+    if (verb == "state") {
+        in >> arg;
+        core.set_member_state(arg == "live"     ? model::MemberState::live
+                              : arg == "adrift" ? model::MemberState::adrift
+                                                : model::MemberState::alone);
+        return "";
+    }
+    if (verb == "submit") {
+        in >> arg;
+        auto spec = spec_of(arg, in);
+        sync(c);
+        if (auto known = core.known(arg)) return show(*known);
+        bool unsure = false;
+        if (core.never_runs(spec, unsure)) return "422";
+        auto draft = core.new_draft();
+        draft.submit(spec, name, static_cast<std::int64_t>(now().wall));
+        return commit(c, draft).find("applied") != std::string::npos ? "201" : "conflict";
+    }
+    if (verb == "withdraw") {
+        in >> arg;
+        auto* job = core.view().job(arg);
+        if (!job || job->state != model::JobState::active) return show(core.poll(arg));
+        auto draft = core.new_draft();
+        draft.withdraw(*job);
+        return commit(c, draft);
+    }
+    if (verb == "poll") {  // reads up to this moment, as every poll does
+        in >> arg;
+        sync(c);
+        return show(core.poll(arg));
+    }
+    if (verb == "report") {
+        auto r = report_of(in);
+        auto a = core.admit(r, now());
+        if (a.kind == Admission::redirect) return "421 " + a.foreman;
+        if (a.kind == Admission::refuse) return "503";
+        if (a.kind == Admission::claim) return core.note_claim(r), "claim";
+        core.digest(r, true, now());
+        return "200 " + std::to_string(core.view().host(r.host)->stamp) + ": " +
+               show(core.orders(r.host, false, now()));
+    }
+    if (verb == "round") {
+        core.tick(now());
+        return commit(c, core.round(now()));
+    }
+    if (verb == "draft") {  // a round whose transaction is held back on the way
+        core.tick(now());
+        c.held = core.round(now()).build().body;
+        return "";
+    }
+    if (verb == "deliver") {
+        if (c.held["apply"].empty()) return "nothing";
+        return store_.commit(c.held).substr(0, 8) == "conflict" ? "conflict" : "applied";
+    }
+    if (verb == "command") {  // what goes straight to the host now
+        in >> arg;
+        auto orders = core.orders(arg, true, now());
+        core.commands_sent(arg, orders, now());
+        c.sent[arg] = orders;
+        return show(orders);
+    }
+    if (verb == "unanswered") {
+        in >> arg;
+        core.commands_answered(arg, c.sent[arg], false, core.view().host(arg)->stamp);
+        return "";
+    }
+    if (verb == "answered") {  // NAME HOST TENURE TICK BATON tasks
+        auto r = report_of(in);
+        core.digest(r, false, now());
+        core.commands_answered(r.host, c.sent[r.host], true, core.view().host(r.host)->stamp);
+        return "";
+    }
+    if (verb == "gone") {  // the cloud said 200 to the return of this host
+        in >> arg;
+        auto* h = core.view().host(arg);
+        auto draft = core.new_draft();
+        draft.mark_return(arg, h ? h->returnStamp : 0, static_cast<std::int64_t>(now().wall), true, "test");
+        return commit(c, draft);
+    }
+    if (verb == "team") {
+        in >> arg;
+        sync(c);
+        auto it = core.view().teams().find(arg);
+        if (it == core.view().teams().end()) return "0 cores";
+        return std::to_string(it->second.cores / 1000) + " cores";
+    }
+    throw std::runtime_error("unknown command: " + line);
+}
+
+}  // namespace wellstair::test
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,57 @@
+// A small world on a virtual clock for kept traces: the state service's transactions, and controllers' cores on it.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "controller/core.hpp"
+
+namespace wellstair::test {
+
+// Stands in for the state service, by its protocol: conditions, stamps, one revision per transaction.
+class Store {
+  public:
+    struct Change {
+        std::string path;
+        std::optional<wire::Json> data;
+        std::uint64_t stamp;
+    };
+    // "ok N", or "conflict KEY ...".
+    std::string commit(const wire::Json& txn);
+    std::uint64_t stamp(const std::string& path) const;
+    std::uint64_t epoch = 0;
+    std::vector<Change> log;
+
+  private:
+    std::map<std::string, std::pair<wire::Json, std::uint64_t>> keys_;
+};
+
+// Runs one trace: a command per line, the expected answer on the lines after it that start with '>'.
+class World {
+  public:
+    World();
+    // What the command says in answer, one line.
+    std::string run(const std::string& line);
+
+  private:
+    struct Controller {
+        app::Settings settings;
+        std::unique_ptr<controller::Core> core;
+        wire::Json held;  // a transaction that has not reached the store yet
+        std::map<std::string, std::vector<wire::Order>> sent;  // commands without an answer so far
+    };
+    Controller& at(const std::string& name);
+    void sync(Controller& c);
+    controller::Moment now() const { return {time_, 1'000'000 + time_}; }
+    std::string commit(Controller& c, const controller::Draft& draft);
+
+    double time_ = 100;
+    app::Settings settings_;
+    Store store_;
+    std::map<std::string, Controller> controllers_;
+    std::uint64_t incarnations_ = 0;
+};
+
+}  // namespace wellstair::test
