--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -192,7 +192,11 @@
         double sinceS;
     };
     std::map<std::string, Coming> coming_;
-    std::map<std::string, double> refusedUntil_;
+    struct Refusal {
+        double untilS = -1e9;
+        int inARow = 0;
+    };
+    std::map<std::string, Refusal> refusals_;
     std::map<std::string, double> idleSince_;
     std::map<std::string, double> strangeSince_;  // hosts that nobody keeps alive
     struct LaneNote {
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -290,11 +290,13 @@
 
 void Core::rented(const RentalOrder& order, const std::vector<std::string>& hosts, Moment now) {
     for (const auto& h : hosts) coming_[h] = {order, now.steady};
+    if (!hosts.empty()) refusals_.erase(offer_key(order));
     if (hosts.size() < order.number) refused(order, now);
 }
 
 void Core::refused(const RentalOrder& order, Moment now) {
-    refusedUntil_[offer_key(order)] = now.steady + settings_.leaseS;
+    Refusal& r = refusals_[offer_key(order)];
+    r.untilS = now.steady + settings_.leaseS * std::min(4.0, std::exp2(r.inARow++));
 }
 
 std::vector<RentalOrder> Core::rentals(Moment now) {
@@ -312,9 +314,9 @@
         for (const std::string& hall : t.halls)
             for (bool loaner : {false, true}) {
                 RentalOrder kind{sku, hall, loaner, 0};
-                auto r = refusedUntil_.find(offer_key(kind));
+                auto r = refusals_.find(offer_key(kind));
                 offers.push_back({sku, hall, loaner, {t.cores, t.gpus, t.ramGb}, loaner ? t.lowPrice : t.rate,
-                                  t.startupS, r != refusedUntil_.end() && now.steady < r->second});
+                                  t.startupS, r != refusals_.end() && now.steady < r->second.untilS});
                 std::uint32_t n = 0;
                 for (const auto& [name, c] : coming_)
                     n += c.what.build == sku && c.what.hall == hall && c.what.loaner == loaner;
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -579,8 +579,11 @@
                 core_.set_machines(std::move(*list), now());
             }
         }
-        for (const RentalOrder& o : core_.rentals(now())) {
-            if (core_.view().cloud_role() != settings_.member) break;
+        // One request at a time, and a new look after each: what one kind cannot give, the next may.
+        for (int calls = 0; calls < 12; ++calls) {
+            auto orders = core_.rentals(now());
+            if (orders.empty() || core_.view().cloud_role() != settings_.member) break;
+            const RentalOrder o = orders.front();
             // A request name is never used again, not even by another process: it carries the incarnation.
             std::string ask = "r-" + std::to_string(core_.incarnation()) + "-" + std::to_string(++asks_);
             cloud::RentResult r;
@@ -592,6 +595,7 @@
                          r.hosts.size());
             if (r.kind == cloud::RentResult::rented) core_.rented(o, r.hosts, now());
             if (r.kind == cloud::RentResult::refused) core_.refused(o, now());
+            if (r.kind == cloud::RentResult::failed) break;
         }
         auto due = core_.returns_due(now());
         if (due.empty()) continue;
