--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -146,10 +146,18 @@
             std::uint32_t attempt;
         };
         std::vector<Start> starts;
-        std::vector<std::pair<model::Job*, std::uint32_t>> unmet;  // tasks that cannot start now
+        struct Unmet {
+            model::Job* job;
+            std::uint32_t tasks;
+            bool beyond;     // more than its team's guarantee
+            double soonest;  // the first promised start, or never
+        };
+        std::vector<Unmet> unmet;  // tasks that cannot start now
         std::vector<placement::Machine> machines;                  // with what the plan holds on them
     };
     Plan make_plan(Moment now);
+    void preempt(const Plan& plan, Moment now);
+    std::set<const model::Job*> beyond_guarantee() const;
     std::vector<placement::Machine> machines(Moment now, std::vector<model::HostRecord*>& records);
     placement::Request request_of(const model::Job& job, const std::vector<placement::Machine>& machines) const;
     placement::Weights weights(std::size_t machines) const;
@@ -194,7 +202,6 @@
     std::map<std::string, Coming> coming_;
     struct Refusal {
         double untilS = -1e9;
-        int inARow = 0;
     };
     std::map<std::string, Refusal> refusals_;
     std::map<std::string, double> idleSince_;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -112,9 +112,10 @@
     return r;
 }
 
-std::vector<Core::Queued> Core::ordered_queue(Moment now) const {
-    std::vector<Queued> out;
-    std::map<std::string, std::pair<double, double>> used;  // per team, in submission order
+// A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs.
+std::set<const Job*> Core::beyond_guarantee() const {
+    std::set<const Job*> out;
+    std::map<std::string, std::pair<double, double>> used;
     for (const auto& [order, job] : view_->queue()) {
         if (job->state != JobState::active || job->done == job->spec->steps) continue;
         const wire::JobSpec& s = *job->spec;
@@ -123,9 +124,17 @@
         cores += s.cores * left;
         gpus += s.gpus * left;
         const app::Team* t = settings_.team(s.crew);
-        bool within = t && cores <= t->cpus + 1e-9 && gpus <= t->gpus + 1e-9;
-        if (job->open() > 0) out.push_back({job, static_cast<int>(s.rank), !within});
+        if (!t || cores > t->cpus + 1e-9 || gpus > t->gpus + 1e-9) out.insert(job);
     }
+    return out;
+}
+
+std::vector<Core::Queued> Core::ordered_queue(Moment now) const {
+    std::vector<Queued> out;
+    auto beyond = beyond_guarantee();
+    for (const auto& [order, job] : view_->queue())
+        if (job->state == JobState::active && job->open() > 0)
+            out.push_back({job, static_cast<int>(job->spec->rank), beyond.count(job) > 0});
     std::stable_sort(out.begin(), out.end(), [](const Queued& a, const Queued& b) {
         return std::pair(a.rank, a.beyond) < std::pair(b.rank, b.beyond);
     });
@@ -227,10 +236,12 @@
         bool startOnly = promises == 0;
         auto slots = gang ? planner.place_gang(r, startOnly) : planner.place_batch(r, startOnly);
         std::uint32_t started = 0;
+        double soonest = 1e18;
         Plan::Start whole{&job, {}, 0};
         for (std::size_t k = 0; k < slots.size(); ++k) {
             if (slots[k].start > now.wall) {
                 if (promises) --promises;
+                soonest = std::min(soonest, slots[k].start);
                 continue;
             }
             ++started;
@@ -245,7 +256,7 @@
         }
         if (gang && whole.tasks.size() == s.steps) plan.starts.push_back(std::move(whole));
         teamRoom = {teamRoom.cores - started * s.cores, teamRoom.gpus - started * s.gpus, teamRoom.ramGb};
-        if (started < r.count) plan.unmet.emplace_back(&job, r.count - started);
+        if (started < r.count) plan.unmet.push_back({&job, r.count - started, q.beyond, soonest});
     }
     plan.machines = planner.machines();
     return plan;
@@ -260,6 +271,7 @@
     lastOrder_ = newest;
     plannedS_ = now.steady;
     Plan plan = make_plan(now);
+    preempt(plan, now);
     for (const auto& start : plan.starts) {
         bool wide = start.tasks.size() > 1;
         if (wide ? !responsible(*start.job) : !kept_here(start.tasks.front().second)) {
@@ -277,6 +289,82 @@
     }
 }
 
+// Makes room for work of higher rank, and for work within its team's guarantee at the cost of what other teams run
+// beyond theirs; in no other case. All controllers look at all machines and each stops only what runs on its own, so
+// that they choose alike without a word.
+void Core::preempt(const Plan& plan, Moment now) {
+    if (plan.unmet.empty()) return;
+    std::set<const Job*> beyond = beyond_guarantee();
+    std::map<std::string, Need> room;  // by machine: what is free, or becoming so
+    for (const auto& m : plan.machines) {
+        Need used;
+        for (const auto& h : m.holds)
+            if (h.from <= now.wall) used += h.need;
+        room[m.name] = m.total - used;
+    }
+    std::set<std::pair<const Job*, std::uint32_t>> taken;
+    for (const auto& u : plan.unmet) {
+        const wire::JobSpec& s = *u.job->spec;
+        if (u.job->gang() && s.steps > 1) continue;  // a wide gang takes what becomes free for it
+        if (u.soonest - now.wall < settings_.reportS) continue;
+        Need need = need_of(s);
+        placement::Request request = request_of(*u.job, plan.machines);
+        for (std::uint32_t n = 0; n < u.tasks; ++n) {
+            double bestCost = 1e18;
+            std::string bestHost;
+            std::vector<StepRef> bestVictims;
+            for (std::size_t i = 0; i < plan.machines.size(); ++i) {
+                const auto& m = plan.machines[i];
+                if (!request.allowed[i] || !need.fits(m.total)) continue;
+                HostRecord* h = view_->host(m.name);
+                double cached = m.cache ? m.cache->ready_at(s.bundle, now.wall) : -1;
+                double cost = cached < 0 ? s.imageGb / m.fetchGbPerS : std::max(0.0, cached - now.wall);
+                struct Victim {
+                    StepRef ref;
+                    double cost;
+                };
+                std::vector<Victim> victims;
+                for (const StepRef& ref : h->placed) {
+                    const wire::JobSpec& v = *ref.job->spec;
+                    if (ref.job == u.job || taken.count({ref.job, ref.index})) continue;
+                    if (ref.job->gang() && v.steps > 1) continue;
+                    bool lower = v.rank > s.rank;
+                    bool borrowed = !u.beyond && v.crew != s.crew && beyond.count(ref.job);
+                    if (!lower && !borrowed) continue;
+                    double ran = now.wall - ref.job->step(ref.index, view_->chunk_size()).atS;
+                    double lost = v.snapshotS > 0 ? v.flushS : ran;
+                    double left = v.expectS - ran;
+                    victims.push_back({ref, lost + (left < settings_.reportS ? v.expectS : 0) + settings_.reportS});
+                }
+                std::sort(victims.begin(), victims.end(),
+                          [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+                Need free = room[m.name];
+                std::vector<StepRef> chosen;
+                for (const Victim& v : victims) {
+                    if (need.fits(free)) break;
+                    free += need_of(*v.ref.job->spec);
+                    cost += v.cost;
+                    chosen.push_back(v.ref);
+                }
+                if (need.fits(free) && !chosen.empty() && cost < bestCost)
+                    bestCost = cost, bestHost = m.name, bestVictims = chosen;
+            }
+            // Worth it only if the promised start is later than what the victims lose and the fetch together.
+            if (bestHost.empty() || now.wall + bestCost > u.soonest) break;
+            HostRecord* h = view_->host(bestHost);
+            for (const StepRef& v : bestVictims) {
+                taken.insert({v.job, v.index});
+                room[bestHost] += need_of(*v.job->spec);
+                if (!kept_here(h)) continue;
+                HostNotes& notes = notes_[bestHost];
+                if (notes.evict.try_emplace({v.job->id, v.index}, now.steady).second)
+                    spdlog::info("stop {}/{} on {} to make room for {}", v.job->id, v.index, bestHost, u.job->id);
+            }
+            room[bestHost] = room[bestHost] - need;
+        }
+    }
+}
+
 // ---------------------------------------------------------------- cloud
 
 void Core::set_machines(std::vector<wire::Machine> machines, Moment now) {
@@ -296,7 +384,7 @@
 
 void Core::refused(const RentalOrder& order, Moment now) {
     Refusal& r = refusals_[offer_key(order)];
-    r.untilS = now.steady + settings_.leaseS * std::min(4.0, std::exp2(r.inARow++));
+    r.untilS = now.steady + settings_.leaseS;
 }
 
 std::vector<RentalOrder> Core::rentals(Moment now) {
@@ -330,7 +418,7 @@
         for (const auto& o : offers) w.allowed.push_back(allows(s, o.build, o.hall, o.loaner));
         wants.push_back(std::move(w));
     };
-    for (const auto& [job, count] : plan.unmet) want(*job->spec, count);
+    for (const auto& u : plan.unmet) want(*u.job->spec, u.tasks);
 
     // Ahead of demand: what usually arrives while a machine boots.
     for (const auto& [order, job] : view_->queue()) {
