Overload order: aims for waits and guarantees count as due times, too

Cause: cell-balance jobs of one team wait up to 165 s (debug log: grid-desk-08 and -09 at their limit of 72 cores).

--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -138,7 +138,7 @@
     };
     std::vector<Queued> ordered_queue(Moment now) const;
     void order_overloaded(std::vector<Queued>& queue, Moment now) const;
-    std::vector<double> due_times(const wire::JobSpec& spec) const;
+    std::vector<double> due_times(const wire::JobSpec& spec, bool beyond) const;
     struct Plan {
         struct Start {
             model::Job* job;
--- a/src/controller/draft.cpp
+++ b/src/controller/draft.cpp
@@ -64,7 +64,7 @@
     when(keys::job(spec.ref), 0);
     set(keys::job(spec.ref), std::move(body));
     set(keys::active(spec.ref), {{"o", owner}});
-    about_.push_back("submit " + spec.ref);
+    about_.push_back("submit " + spec.ref + " " + spec.lane + " of " + spec.crew);
     return true;
 }
 
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -143,12 +143,15 @@
 }
 
 // By when users want such a job to be over, in seconds from its submission, dearest first.
-std::vector<double> Core::due_times(const wire::JobSpec& spec) const {
+std::vector<double> Core::due_times(const wire::JobSpec& spec, bool beyond) const {
     std::vector<double> out;
     for (const auto& o : settings_.objectives) {
+        // What is to start in time has to be over one run time later.
+        if (o.kind == "guarantee" && !beyond && o.withinS > 0) out.push_back(o.withinS + spec.expectS);
         if (o.lane != spec.lane) continue;
         if (o.kind == "deadline" && spec.dueS) out.push_back(*spec.dueS * (o.times > 0 ? o.times : 1));
         if (o.kind == "finished" && o.withinS > 0) out.push_back(o.withinS);
+        if (o.kind == "wait" && o.withinS > 0) out.push_back(o.withinS + spec.expectS);
     }
     if (out.empty() && spec.dueS) out.push_back(*spec.dueS);
     std::sort(out.begin(), out.end());
@@ -161,7 +164,7 @@
 void Core::order_overloaded(std::vector<Queued>& queue, Moment now) const {
     std::map<std::pair<std::string, int>, std::vector<std::size_t>> groups;
     for (std::size_t i = 0; i < queue.size(); ++i)
-        if (!due_times(*queue[i].job->spec).empty())
+        if (!due_times(*queue[i].job->spec, queue[i].beyond).empty())
             groups[{queue[i].job->spec->crew, queue[i].rank}].push_back(i);
     for (const auto& [key, places] : groups) {
         const app::Team* team = settings_.team(key.first);
@@ -181,7 +184,7 @@
                         if (step.state == StepState::placed)
                             remaining += std::max(s.expectS / 5, s.expectS - (now.wall - step.atS));
             wanted += size(s) * (s.steps - job.done);
-            placement::DueJob d{remaining * size(s), s.expectS, due_times(s)};
+            placement::DueJob d{remaining * size(s), s.expectS, due_times(s, queue[i].beyond)};
             for (double& due : d.due) due -= now.wall - job.atS;
             jobs.push_back(std::move(d));
         }
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -58,6 +58,15 @@
     return {{"builds", std::move(list)}};
 }
 
+void log_txn(const char* what, const Txn& txn, const store::CommitResult& r) {
+    if (!spdlog::should_log(spdlog::level::debug)) return;
+    static constexpr const char* outcomes[] = {"applied",     "conflict", "no lease", "busy",
+                                               "unavailable", "unknown",  "malformed"};
+    std::string about;
+    for (const auto& a : txn.about) about += a + "; ";
+    spdlog::debug("{}: {}{} at {}", what, about, outcomes[static_cast<int>(r.outcome)], r.epoch);
+}
+
 front::Response unavailable(const char* why) { return {503, {{"error", why}}, 1, ""}; }
 
 front::Response to_response(const Answer& a) { return {a.status, a.body, a.retryAfterS, ""}; }
@@ -332,11 +341,7 @@
             if (!draft.empty()) {
                 Txn txn = draft.build();
                 auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
-                if (spdlog::should_log(spdlog::level::debug)) {
-                    std::string about;
-                    for (const auto& a : txn.about) about += a + "; ";
-                    spdlog::debug("round: {} -> {} at {}", about, static_cast<int>(r.outcome), r.epoch);
-                }
+                log_txn("round", txn, r);
                 if (r.outcome == Outcome::applied) {
                     co_await caught_up(r.epoch, 2 * kStoreTimeoutS);
                 } else {
@@ -424,6 +429,7 @@
         }
         Txn txn = draft.build();
         auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
+        log_txn("users", txn, r);
         if (r.outcome == Outcome::applied) {
             for (auto& op : batch)
                 op->answer = op->kind == UserOp::submit ? phase_answer(201, op->id, "queued")
