--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -48,9 +48,10 @@
     // Its keeper does not start there what our plan expects it to: count on it no more for a while.
     if (auto it = doubts_.find(h.name); it != doubts_.end()) {
         double age = now.steady - it->second.sinceS;
-        if (age > settings_.reportS / 2 && age < 4 * settings_.reportS) return false;
+        if (age > settings_.reportS / 6 && age < 4 * settings_.reportS) return false;
     }
-    return true;
+    // Just registered: its keeper waits for the host to confirm the baton.
+    return now.wall - h.registeredS > settings_.reportS / 2;
 }
 
 placement::Weights Core::weights(std::size_t machines) const {
@@ -76,6 +77,9 @@
         m.fetchGbPerS = tunables_.fetchGbPerS > 0 ? tunables_.fetchGbPerS : view_->fetch_rate(h->build);
         m.cache = &h->cache;
         m.busy = !h->placed.empty();
+        // Where two controllers see the caches differently, each would leave a task to the other's machine. A slight
+        // preference for one's own makes both act instead, and the state service lets one of them win.
+        if (!kept_here(h)) m.handicapS = settings_.reportS / 10;
         for (const StepRef& ref : h->placed) {
             const wire::JobSpec& s = *ref.job->spec;
             Step step = ref.job->step(ref.index, view_->chunk_size());
--- a/src/model/view.cpp
+++ b/src/model/view.cpp
@@ -98,6 +98,7 @@
         if (stamp <= h.stamp) return;
         if (data) {
             h.stamp = stamp;
+            h.registeredS = wallS;
             h.keeper = data->value("keeper", "");
             h.incarnation = data->value("inc", std::uint64_t{0});
             h.address = data->value("address", "");
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -76,6 +76,7 @@
     std::string name, keeper, address, build, hall;
     std::uint64_t stamp = 0;  // of hosts/NAME: the baton. 0: not registered
     std::uint64_t incarnation = 0;
+    double registeredS = 0;  // time of day at which the registration was seen
     bool loaner = false;
     std::uint64_t returnStamp = 0;  // of returns/NAME. 0: not being returned
     bool returned = false;          // the cloud has said 200: nothing on it exists any more
