--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -58,6 +58,7 @@
     placement::Weights w;
     w.w = tunables_.leaWeight > 0 ? tunables_.leaWeight : static_cast<double>(machines);
     w.gpuCareS = settings_.reportS / 3;
+    w.packS = settings_.reportS / 4;
     w.mode = tunables_.mode;
     return w;
 }
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -59,6 +59,7 @@
 struct Weights {
     double w = 1;            // weight of the load term in LEA
     double gpuCareS = 0;     // per machine: a task without GPUs on a machine that has them
+    double packS = 0;        // per machine: what it would leave unused, as a share, times this
     enum class Mode { mixed, eft, lea } mode = Mode::mixed;  // the last two for ablations
 };
 
