--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -58,7 +58,7 @@
     placement::Weights w;
     w.w = tunables_.leaWeight > 0 ? tunables_.leaWeight : static_cast<double>(machines);
     w.gpuCareS = settings_.reportS / 3;
-    w.packS = settings_.reportS / 4;
+    w.warmCareS = 1.2;
     w.mode = tunables_.mode;
     return w;
 }
@@ -241,6 +241,14 @@
             return n * s.cores <= teamRoom.cores - keptCores + 1e-6 && n * s.gpus <= teamRoom.gpus - keptGpus + 1e-6;
         };
         placement::Request r = request_of(job, planner.machines());
+        // Work beyond its guarantee that may take the time of a fetch leaves the machines that have the image to work
+        // that must start at once, and makes one more machine have it.
+        if (q.beyond)
+            for (const auto& o : settings_.objectives)
+                if (o.kind == "wait" && o.lane == s.lane) {
+                    r.leaveWarm = o.withinS >= 2.5 * s.imageGb / 0.1;
+                    break;
+                }
         std::vector<std::uint32_t> open;
         std::uint32_t most = gang ? s.steps : 256;
         for (std::uint32_t c = 0; c < job.chunks.size() && open.size() < most; ++c) {
--- a/src/placement/lem.cpp
+++ b/src/placement/lem.cpp
@@ -67,16 +67,7 @@
     double ready = start, fetchS = m.fetchGbPerS > 0 ? r.imageGb / m.fetchGbPerS : 0;
     ready = cachedAt < 0 ? start + fetchS : std::max(start, cachedAt);
     double care = m.handicapS + (r.need.gpus <= 0 && m.total.gpus > 0 ? weights_.gpuCareS : 0);
-    if (weights_.packS > 0 && start <= now_) {
-        // Among equals the fuller machine: an empty one can still take what needs all of it.
-        Need used = r.need;
-        for (const Hold& h : m.holds)
-            if (h.from <= now_ && now_ < h.until) used += h.need;
-        double share = m.total.cores > 0 ? used.cores / m.total.cores : 1;
-        if (m.total.gpus > 0) share = std::max(share, used.gpus / m.total.gpus);
-        care += weights_.packS * std::max(0.0, 1 - share);
-    }
-    if (!saturated) return ready + care;
+    if (!saturated) return ready + care + (r.leaveWarm && cachedAt >= 0 ? weights_.warmCareS * fetchS : 0);
     double penalty = 0;
     if (cachedAt < 0 && m.cacheGb > 0 && m.fetchGbPerS > 0 && m.cache)
         penalty = m.cache->total_gb() * r.imageGb / m.cacheGb / m.fetchGbPerS;
