--- a/src/placement/lem.cpp
+++ b/src/placement/lem.cpp
@@ -67,7 +67,7 @@
     double ready = start, fetchS = m.fetchGbPerS > 0 ? r.imageGb / m.fetchGbPerS : 0;
     ready = cachedAt < 0 ? start + fetchS : std::max(start, cachedAt);
     double care = m.handicapS + (r.need.gpus <= 0 && m.total.gpus > 0 ? weights_.gpuCareS : 0);
-    if (!saturated) return ready + care + (r.leaveWarm && cachedAt >= 0 ? weights_.warmCareS * fetchS : 0);
+    if (!saturated) return ready + care;
     double penalty = 0;
     if (cachedAt < 0 && m.cacheGb > 0 && m.fetchGbPerS > 0 && m.cache)
         penalty = m.cache->total_gb() * r.imageGb / m.cacheGb / m.fetchGbPerS;
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -49,7 +49,6 @@
     std::uint32_t scatterCap = 0;                        // most tasks in one zone
     std::vector<std::pair<std::string, std::uint32_t>> inHall;  // tasks that the job already has per zone
     std::vector<bool> allowed;                           // by machine
-    bool leaveWarm = false;                              // can wait for a fetch: see Weights::warmCareS
 };
 
 struct Slot {
@@ -60,7 +59,6 @@
 struct Weights {
     double w = 1;            // weight of the load term in LEA
     double gpuCareS = 0;     // per machine: a task without GPUs on a machine that has them
-    double warmCareS = 0;    // EFT: machines that have the image are left to others, as a multiple of the fetch
     enum class Mode { mixed, eft, lea } mode = Mode::mixed;  // the last two for ablations
 };
 
