--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -193,7 +193,11 @@
         changed = true;
         if (seen.phase == wire::TaskPhase::ended) note_end(n, r.host, key, seen, now);
         if (seen.phase == wire::TaskPhase::running || seen.phase == wire::TaskPhase::waiting)
-            if (Job* job = view_->job(key.first)) h->cache.ready(job->spec->bundle, job->spec->imageGb, now.wall);
+            if (Job* job = view_->job(key.first)) {
+                h->cache.ready(job->spec->bundle, job->spec->imageGb, now.wall);
+                spdlog::debug("step {}/{} of {} runs on {}, {:.1f} s after its submission", key.first, key.second,
+                              job->spec->crew, r.host, now.wall - static_cast<double>(job->atS));
+            }
     }
     if (n.state == HostState::claiming || n.state == HostState::released) n.state.become(HostState::kept);
     // A baton equal to ours shows that every command under an older one is refused from here on.
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -211,6 +211,11 @@
         std::deque<std::pair<double, std::uint32_t>> arrivals;  // steady time, tasks
     };
     std::map<std::string, LaneNote> lanes_;
+    struct Urgent {
+        double cores = 0, gpus = 0, lastS = -1e9;
+    };
+    // What one job of a team and rank takes, as seen of late.
+    std::map<std::pair<std::string, int>, Urgent> urgent_;
     std::set<std::string> counted_;
 };
 
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -213,6 +213,15 @@
         double gpus = it == view_->teams().end() ? 0 : it->second.gpus / 1000.0;
         room[t.name] = {t.cpusMax > 0 ? t.cpusMax - cores : 1e12, t.gpusMax > 0 ? t.gpusMax - gpus : 1e12, 1e12};
     }
+    for (const auto& [order, job] : view_->queue()) {
+        const wire::JobSpec& s = *job->spec;
+        double tasks = job->gang() ? s.steps : 1;
+        Urgent& u = urgent_[{s.crew, static_cast<int>(s.rank)}];
+        u.cores = std::max(u.cores, s.cores * tasks);
+        u.gpus = std::max(u.gpus, s.gpus * tasks);
+        u.lastS = now.steady;
+    }
+    std::erase_if(urgent_, [&](const auto& e) { return now.steady - e.second.lastS > 10 * settings_.leaseS; });
     // Promises are made to the first of the queue only; behind them, tasks start where they disturb no promise.
     std::size_t promises = 2 * count + 8;
     for (const Queued& q : ordered_queue(now)) {
@@ -222,8 +231,13 @@
         bool gang = job.gang() && s.steps > 1;
         if (gang && gang_state(job) != model::GangState::open) continue;
         Need& teamRoom = room[s.crew];
+        // Up to its team's limit, lower-ranked work leaves room for the next job of each higher rank that the team has
+        // had of late: it would otherwise wait for the end of a task in spite of its rank.
+        double keptCores = 0, keptGpus = 0;
+        for (const auto& [key, urgent] : urgent_)
+            if (key.first == s.crew && key.second < q.rank) keptCores += urgent.cores, keptGpus += urgent.gpus;
         auto fits_team = [&](double n) {
-            return n * s.cores <= teamRoom.cores + 1e-6 && n * s.gpus <= teamRoom.gpus + 1e-6;
+            return n * s.cores <= teamRoom.cores - keptCores + 1e-6 && n * s.gpus <= teamRoom.gpus - keptGpus + 1e-6;
         };
         placement::Request r = request_of(job, planner.machines());
         std::vector<std::uint32_t> open;
