--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -157,6 +157,9 @@
     };
     Plan make_plan(Moment now);
     void preempt(const Plan& plan, Moment now);
+    void note_arrivals(Moment now);
+    placement::Request probe(const wire::JobSpec& spec, std::uint32_t count,
+                             const std::vector<placement::Machine>& machines) const;
     std::set<const model::Job*> beyond_guarantee() const;
     std::vector<placement::Machine> machines(Moment now, std::vector<model::HostRecord*>& records);
     placement::Request request_of(const model::Job& job, const std::vector<placement::Machine>& machines) const;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -200,8 +200,33 @@
     }
 }
 
+void Core::note_arrivals(Moment now) {
+    for (const auto& [order, job] : view_->queue()) {
+        if (!counted_.insert(job->id).second) continue;
+        LaneNote& lane = lanes_[job->spec->lane];
+        lane.last = *job->spec;
+        lane.arrivals.emplace_back(now.steady - (now.wall - static_cast<double>(job->atS)), job->spec->steps);
+    }
+    if (counted_.size() > 4096) std::erase_if(counted_, [&](const std::string& id) { return !view_->job(id); });
+    for (auto& [name, lane] : lanes_)
+        while (!lane.arrivals.empty() && now.steady - lane.arrivals.front().first > 4 * settings_.leaseS)
+            lane.arrivals.pop_front();
+}
+
+// Tasks like the lane's last ones, to see where the next would find room.
+placement::Request Core::probe(const wire::JobSpec& spec, std::uint32_t count,
+                               const std::vector<placement::Machine>& machines) const {
+    Job job;
+    job.spec = spec;
+    placement::Request r = request_of(job, machines);
+    r.together = r.scatter = false;
+    r.count = count;
+    return r;
+}
+
 Core::Plan Core::make_plan(Moment now) {
     Plan plan;
+    note_arrivals(now);
     std::vector<HostRecord*> records;
     auto list = machines(now, records);
     std::size_t count = list.size();
@@ -224,9 +249,21 @@
     std::erase_if(urgent_, [&](const auto& e) { return now.steady - e.second.lastS > 10 * settings_.leaseS; });
     // Promises are made to the first of the queue only; behind them, tasks start where they disturb no promise.
     std::size_t promises = 2 * count + 8;
+    std::set<std::string> spared;  // lanes for which room has been left
     for (const Queued& q : ordered_queue(now)) {
         Job& job = *q.job;
         const wire::JobSpec& s = *job.spec;
+        // Before lower ranks take what is free, room is left for what higher ranks usually ask for within two reports:
+        // making room only then costs a wind-down.
+        for (const auto& [name, lane] : lanes_) {
+            if (static_cast<int>(lane.last.rank) >= q.rank || lane.arrivals.empty() || !spared.insert(name).second)
+                continue;
+            double tasks = 0;
+            for (const auto& [at, n] : lane.arrivals) tasks += n;
+            double soon = std::ceil(tasks * 2 * settings_.reportS / (4 * settings_.leaseS));
+            planner.place_batch(probe(lane.last, static_cast<std::uint32_t>(std::min(soon, 8.0)), planner.machines()),
+                                true);
+        }
         if (auto it = jobNotes_.find(job.id); it != jobNotes_.end() && now.steady < it->second.notBeforeS) continue;
         bool gang = job.gang() && s.steps > 1;
         if (gang && gang_state(job) != model::GangState::open) continue;
@@ -442,17 +479,9 @@
     for (const auto& u : plan.unmet) want(*u.job->spec, u.tasks);
 
     // Ahead of demand: what usually arrives while a machine boots.
-    for (const auto& [order, job] : view_->queue()) {
-        if (!counted_.insert(job->id).second) continue;
-        LaneNote& lane = lanes_[job->spec->lane];
-        lane.last = *job->spec;
-        lane.arrivals.emplace_back(now.steady, job->spec->steps);
-    }
-    if (counted_.size() > 4096) std::erase_if(counted_, [&](const std::string& id) { return !view_->job(id); });
     placement::Planner ahead(now.wall, plan.machines, weights(plan.machines.size()));
     for (auto& [name, lane] : lanes_) {
         double window = 4 * settings_.leaseS;
-        while (!lane.arrivals.empty() && now.steady - lane.arrivals.front().first > window) lane.arrivals.pop_front();
         double tasks = 0;
         for (const auto& [at, n] : lane.arrivals) tasks += n;
         double boot = 0;
@@ -463,13 +492,7 @@
         if (team && team->gpusMax > 0 && lane.last.gpus > 0)
             target = std::min(target, static_cast<std::uint32_t>(team->gpusMax / lane.last.gpus));
         if (!target) continue;
-        Job probe;
-        probe.id = "headroom";
-        probe.spec = lane.last;
-        placement::Request r = request_of(probe, ahead.machines());
-        r.together = r.scatter = false;
-        r.count = target;
-        auto slots = ahead.place_batch(r, true);
+        auto slots = ahead.place_batch(probe(lane.last, target, ahead.machines()), true);
         if (slots.size() < target) want(lane.last, target - static_cast<std::uint32_t>(slots.size()));
     }
     // Machines that neither work nor headroom needs are surplus; the clock of each starts when it becomes so.
