--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,111 @@
+// A job of 100,000 tasks within the state service's limits: every transaction small enough, and done as ranges.
+#include <gtest/gtest.h>
+
+#include "controller/core.hpp"
+#include "world.hpp"
+
+using namespace wellstair;
+
+namespace {
+
+TEST(Scale, AJobOfAHundredThousandTasks) {
+    app::Settings settings;
+    settings.member = "a", settings.location = "a";
+    settings.teams = {{"blue", 0, 0, 0, 0}};
+    settings.reportS = 3, settings.leaseS = 20, settings.cancelS = 45;
+    settings.valueKb = 8, settings.txnOps = 16;
+    controller::Core core(settings, {}, 1);
+    test::Store store;
+    double wall = 1'000'000;
+    auto sync = [&] {
+        for (const auto& c : store.log)
+            if (c.stamp > core.view().epoch()) core.view().apply(c.path, c.data ? &*c.data : nullptr, c.stamp, wall);
+        core.view().advance(store.epoch);
+        store.log.clear();
+    };
+    std::size_t largestTxn = 0, largestValue = 0;
+    auto commit = [&](const controller::Draft& draft) {
+        auto txn = draft.build();
+        largestTxn = std::max(largestTxn, txn.body.dump().size());
+        int writes = 0;
+        for (const auto& op : txn.body["apply"]) {
+            ++writes;
+            if (op.contains("data")) largestValue = std::max(largestValue, op["data"].dump().size());
+        }
+        EXPECT_EQ(writes, txn.writes);
+        EXPECT_LE(writes, settings.txnOps);
+        EXPECT_LE(txn.body["when"].size(), 4u * settings.txnOps);
+        ASSERT_TRUE(store.commit(txn.body).starts_with("ok"));
+        sync();
+    };
+    auto put = [&](const std::string& path, wire::Json data) {
+        wire::Json set;
+        set["set"] = path;
+        set["data"] = std::move(data);
+        wire::Json txn;
+        txn["when"] = wire::Json::array();
+        txn["apply"].push_back(std::move(set));
+        ASSERT_TRUE(store.commit(txn).starts_with("ok"));
+    };
+    wire::Json type = {{"sku", "big"}, {"cores", 200}, {"gpus", 0}, {"ramGb", 400}, {"cacheGb", 50},
+                       {"fetchGbPerS", 1}, {"rate", 1}, {"startupS", 20}, {"halls", {"a"}}};
+    wire::Json types;
+    types["builds"].push_back(type);
+    put("ws/types", types);
+    put("ws/members/a", {{"inc", 1}});
+    put("ws/hosts/n-1", {{"keeper", "a"}, {"inc", 1}, {"build", "big"}, {"hall", "a"}});
+    sync();
+    core.set_view_ready(true);
+    core.set_member_state(model::MemberState::live);
+
+    wire::JobSpec spec;
+    spec.ref = "j-1", spec.lane = "work", spec.crew = "blue", spec.bundle = "img";
+    spec.steps = 100000, spec.cores = 1, spec.ramGb = 1, spec.expectS = 10;
+    auto draft = core.new_draft();
+    ASSERT_TRUE(draft.submit(spec, "a", 1'000'000));
+    commit(draft);
+    auto* job = core.view().job("j-1");
+    ASSERT_TRUE(job);
+
+    // All tasks run to their end, a transaction's worth at a time, on one machine. The next round's placements are
+    // taken back by hand-made ends, as a keeper would after its proofs.
+    auto* host = core.view().host("n-1");
+    std::uint32_t next = 0;
+    while (job->done < spec.steps) {
+        auto place = core.new_draft();
+        std::uint32_t first = next;
+        while (next < spec.steps && next - first < 400 && place.place(*job, {{next, host}}, 1, 1'000'000)) ++next;
+        ASSERT_GT(next, first);
+        commit(place);
+        while (job->placed > 0) {
+            auto clear = core.new_draft();
+            auto placed = host->placed;
+            bool any = false;
+            for (const auto& ref : placed) {
+                if (!clear.clear(*job, ref.index, model::StepState::done, true)) break;
+                any = true;
+            }
+            ASSERT_TRUE(any);
+            commit(clear);
+        }
+    }
+    EXPECT_LE(largestTxn, 64u * 1024);
+    EXPECT_LE(largestValue, 8u * 1024);
+
+    // Its end is one transaction; the chunks left behind are swept in later ones.
+    auto finish = core.new_draft();
+    ASSERT_TRUE(finish.finish(*job, model::JobState::done));
+    commit(finish);
+    ASSERT_TRUE(core.view().final("j-1"));
+    EXPECT_EQ(core.view().leftovers().size(), 782u);
+    while (!core.view().leftovers().empty()) {
+        auto sweep = core.new_draft();
+        for (const auto& [path, stamp] : core.view().leftovers())
+            if (!sweep.sweep(path, stamp)) break;
+        commit(sweep);
+    }
+    EXPECT_EQ(store.stamp("ws/steps/j-1/0"), 0u);
+    EXPECT_EQ(core.view().teams().at("blue").cores, 0);
+}
+
+}  // namespace
