--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -25,8 +25,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    CLI::App cli("wellstair: a controller of a cluster scheduler. Logs go to standard error, as much as LOG_LEVEL\n"
-                 "(error, info, debug) says.");
+    CLI::App cli(
+        "wellstair: a controller of a cluster scheduler. Logs go to standard error, as much as LOG_LEVEL\n"
+        "(error, info, debug) says.");
     cli.set_version_flag("--version", std::string("wellstair ") + WELLSTAIR_VERSION);
     std::string config;
     bool check = false;
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -9,13 +9,13 @@
 
 using model::GangState;
 using model::HaltNote;
-using model::StartNote;
 using model::HostNotes;
 using model::HostRecord;
 using model::HostState;
 using model::Job;
 using model::JobState;
 using model::MemberState;
+using model::StartNote;
 using model::Step;
 using model::StepRef;
 using model::StepState;
@@ -67,7 +67,9 @@
         spdlog::info("member state {} -> {}", model::MemberTraits::name(before), model::MemberTraits::name(s));
 }
 
-Draft Core::new_draft() { return Draft(*view_, settings_, settings_.member, member_stamp()); }
+Draft Core::new_draft() {
+    return Draft(*view_, settings_, settings_.member, member_stamp());
+}
 
 HostNotes* Core::notes(const std::string& host) {
     auto it = notes_.find(host);
@@ -79,9 +81,12 @@
 const char* Core::phase_name(const Job& job) {
     switch (job.state.state()) {
         case JobState::withdrawn:
-        case JobState::aborted: return "aborted";
-        case JobState::done: return "done";
-        case JobState::active: break;
+        case JobState::aborted:
+            return "aborted";
+        case JobState::done:
+            return "done";
+        case JobState::active:
+            break;
     }
     return job.placed > 0 ? "running" : "queued";
 }
@@ -105,7 +110,8 @@
     const app::Team* team = settings_.team(s.crew);
     if (!team) return "unknown team " + s.crew;
     double tasks = s.shape == wire::Shape::gang ? s.steps : 1;
-    if (team->cpusMax > 0 && s.cores * tasks > team->cpusMax + 1e-9) return "more cores than the limit of team " + s.crew;
+    if (team->cpusMax > 0 && s.cores * tasks > team->cpusMax + 1e-9)
+        return "more cores than the limit of team " + s.crew;
     if (team->gpusMax > 0 && s.gpus * tasks > team->gpusMax + 1e-9) return "more GPUs than the limit of team " + s.crew;
     if (view_->types().empty()) {
         unsure = true;
@@ -158,8 +164,8 @@
     if (to == settings_.member) return {Admission::claim, ""};  // an earlier process of ours
     if (to.empty() || !view_->member_live(to)) to = preferred(r.host, r.hall);
     if (to == settings_.member || to.empty()) return {Admission::claim, ""};
-    if (auto it = hints_.find(to); it != hints_.end() && now.steady - it->second.atS < settings_.reportS &&
-                                   !it->second.hint.live)
+    if (auto it = hints_.find(to);
+        it != hints_.end() && now.steady - it->second.atS < settings_.reportS && !it->second.hint.live)
         return {Admission::claim, ""};
     // A host that comes back soon after being sent away could not reach the one it was sent to.
     double& at = redirected_[r.host];
@@ -312,8 +318,8 @@
             bool first = note.attempt != s.attempt;
             if (first) note = {s.attempt, now.steady};
             bool useless = ref.job->state == JobState::withdrawn || ref.job->spec->snapshotS <= 0;
-            bool orderly = !useless && (!ref.job->gang() || ref.job->spec->steps == 1 ||
-                                        gang_state(*ref.job) != GangState::broken);
+            bool orderly = !useless &&
+                           (!ref.job->gang() || ref.job->spec->steps == 1 || gang_state(*ref.job) != GangState::broken);
             double windDown = orderly ? ref.job->spec->flushS + settings_.reportS : 0;
             if (seen->second.phase == wire::TaskPhase::flushing && orderly) continue;
             halts.push_back({wire::Verb::halt, key.first, key.second, s.attempt, windDown});
@@ -422,6 +428,10 @@
         const std::string& name = it->first;
         HostNotes& n = it->second;
         HostRecord* h = view_->host(name);
+        if (viewReady_ && h && h->returned) {
+            it = notes_.erase(it);
+            continue;
+        }
         if (viewReady_ && !kept_here(h)) {
             if (n.state != HostState::released) {
                 n.state.become(HostState::released);
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -152,8 +152,8 @@
             bool beyond;     // more than its team's guarantee
             double soonest;  // the first promised start, or never
         };
-        std::vector<Unmet> unmet;  // tasks that cannot start now
-        std::vector<placement::Machine> machines;                  // with what the plan holds on them
+        std::vector<Unmet> unmet;                  // tasks that cannot start now
+        std::vector<placement::Machine> machines;  // with what the plan holds on them
     };
     Plan make_plan(Moment now);
     void preempt(const Plan& plan, Moment now);
@@ -172,8 +172,8 @@
     bool viewReady_ = false;
     model::StateMachine<model::MemberState, model::MemberTraits> member_{model::MemberState::joining};
     bool dirty_ = true;
-    bool planDue_ = true;        // something that placement depends on has changed
-    double plannedS_ = -1e9;     // when it was last planned
+    bool planDue_ = true;          // something that placement depends on has changed
+    double plannedS_ = -1e9;       // when it was last planned
     std::uint64_t lastOrder_ = 0;  // the newest job that was planned for
 
     std::unordered_map<std::string, model::HostNotes> notes_;
--- a/src/controller/draft.cpp
+++ b/src/controller/draft.cpp
@@ -223,7 +223,8 @@
         apply.push_back(std::move(op));
     };
     for (const auto& [path, data] : sets_) add(path, data);
-    for (const auto& [key, steps] : chunks_) add(keys::chunk(key.first->id, key.second), model::View::encode_chunk(steps));
+    for (const auto& [key, steps] : chunks_)
+        add(keys::chunk(key.first->id, key.second), model::View::encode_chunk(steps));
     for (const auto& [team, change] : charges_) {
         auto it = view_.teams().find(team);
         std::int64_t cores = it == view_.teams().end() ? 0 : it->second.cores;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -20,9 +20,13 @@
 
 namespace {
 
-Need need_of(const wire::JobSpec& s) { return {s.cores, s.gpus, s.ramGb}; }
+Need need_of(const wire::JobSpec& s) {
+    return {s.cores, s.gpus, s.ramGb};
+}
 
-std::string offer_key(const RentalOrder& o) { return o.build + "/" + o.hall + (o.loaner ? "/spot" : "/ordinary"); }
+std::string offer_key(const RentalOrder& o) {
+    return o.build + "/" + o.hall + (o.loaner ? "/spot" : "/ordinary");
+}
 
 bool allows(const wire::JobSpec& s, const std::string& build, const std::string& hall, bool loaner) {
     if (s.builds && std::find(s.builds->begin(), s.builds->end(), build) == s.builds->end()) return false;
@@ -461,8 +465,13 @@
             for (bool loaner : {false, true}) {
                 RentalOrder kind{sku, hall, loaner, 0};
                 auto r = refusals_.find(offer_key(kind));
-                offers.push_back({sku, hall, loaner, {t.cores, t.gpus, t.ramGb}, loaner ? t.lowPrice : t.rate,
-                                  t.startupS, r != refusals_.end() && now.steady < r->second.untilS});
+                offers.push_back({sku,
+                                  hall,
+                                  loaner,
+                                  {t.cores, t.gpus, t.ramGb},
+                                  loaner ? t.lowPrice : t.rate,
+                                  t.startupS,
+                                  r != refusals_.end() && now.steady < r->second.untilS});
                 std::uint32_t n = 0;
                 for (const auto& [name, c] : coming_)
                     n += c.what.build == sku && c.what.hall == hall && c.what.loaner == loaner;
@@ -522,8 +531,7 @@
     }
     if (view_->cloud_role() != settings_.member) return;
     for (const auto& [name, h] : view_->hosts()) {
-        if (h->returned && h->placed.empty() && now.wall - h->returnedAtS > 3 * settings_.leaseS)
-            draft.forget_host(*h);
+        if (h->returned && h->placed.empty() && now.wall - h->returnedAtS > 3 * settings_.leaseS) draft.forget_host(*h);
         if (h->returnStamp || !h->stamp) continue;
         // Nobody keeps it: either it finds another controller soon, or it is dead or cut off.
         auto keeper = view_->members().find(h->keeper);
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -29,9 +29,13 @@
 }
 
 // Built outside the coroutines: GCC 12 cannot compile such initialisers inside them.
-front::Response refusal(int status, const std::string& why) { return {status, {{"error", why}}, 0, ""}; }
+front::Response refusal(int status, const std::string& why) {
+    return {status, {{"error", why}}, 0, ""};
+}
 
-front::Response steer(const std::string& foreman) { return {421, {{"foreman", foreman}}, 0, ""}; }
+front::Response steer(const std::string& foreman) {
+    return {421, {{"foreman", foreman}}, 0, ""};
+}
 
 front::Response orders_reply(std::uint64_t baton, const std::vector<wire::Order>& orders) {
     return {200, {{"baton", baton}, {"orders", to_json(orders)}}, 0, ""};
@@ -41,7 +45,9 @@
     return {status, {{"ref", id}, {"phase", phase}}, 0};
 }
 
-Answer busy_answer(const char* why) { return {503, {{"error", why}}, 1}; }
+Answer busy_answer(const char* why) {
+    return {503, {{"error", why}}, 1};
+}
 
 Json registration(const std::string& name, std::uint64_t stamp, std::uint64_t incarnation, const std::string& zone,
                   std::uint64_t hold) {
@@ -50,7 +56,9 @@
             {"apply", Json::array({{{"set", keys::member(name)}, {"data", data}, {"hold", hold}}})}};
 }
 
-Json role_holder(const std::string& name) { return {{"by", name}}; }
+Json role_holder(const std::string& name) {
+    return {{"by", name}};
+}
 
 Json type_list(const std::vector<wire::MachineType>& types) {
     Json list = Json::array();
@@ -67,9 +75,13 @@
     spdlog::debug("{}: {}{} at {}", what, about, outcomes[static_cast<int>(r.outcome)], r.epoch);
 }
 
-front::Response unavailable(const char* why) { return {503, {{"error", why}}, 1, ""}; }
+front::Response unavailable(const char* why) {
+    return {503, {{"error", why}}, 1, ""};
+}
 
-front::Response to_response(const Answer& a) { return {a.status, a.body, a.retryAfterS, ""}; }
+front::Response to_response(const Answer& a) {
+    return {a.status, a.body, a.retryAfterS, ""};
+}
 
 }  // namespace
 
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -76,8 +76,8 @@
 
     std::uint64_t hold_ = 0;
     double startedS_;
-    net::Signal changed_;       // the view has moved on
-    net::Signal work_;          // a round is due
+    net::Signal changed_;  // the view has moved on
+    net::Signal work_;     // a round is due
     net::Signal userWork_;
     net::Signal barrierAsked_, barrierDone_;
     std::uint64_t barrierWanted_ = 0, barrierStarted_ = 0, barrierOk_ = 0, barrierFailed_ = 0;
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -20,9 +20,13 @@
 namespace {
 
 // Built outside the coroutines: GCC 12 cannot compile such initialisers inside them.
-Response refusal(int status, const char* why, const char* allow = "") { return {status, {{"error", why}}, 0, allow}; }
+Response refusal(int status, const char* why, const char* allow = "") {
+    return {status, {{"error", why}}, 0, allow};
+}
 
-Response health(bool ok) { return {ok ? 200 : 503, {{"status", ok ? "ok" : "not ready"}}, 0, ""}; }
+Response health(bool ok) {
+    return {ok ? 200 : 503, {{"status", ok ? "ok" : "not ready"}}, 0, ""};
+}
 
 constexpr auto kIdle = std::chrono::seconds(120);
 constexpr auto kTransfer = std::chrono::seconds(10);
@@ -38,7 +42,9 @@
     acceptor_.listen(512);
 }
 
-void Server::start() { asio::co_spawn(io_, accept(), asio::detached); }
+void Server::start() {
+    asio::co_spawn(io_, accept(), asio::detached);
+}
 
 asio::awaitable<void> Server::accept() {
     for (;;) {
@@ -84,8 +90,8 @@
             auto& req = parser.get();
             keep = req.keep_alive();
             version = req.version();
-            response = co_await route(std::string(req.method_string()), std::string(req.target()),
-                                      std::move(req.body()));
+            response =
+                co_await route(std::string(req.method_string()), std::string(req.target()), std::move(req.body()));
         }
         http::response<http::string_body> out(static_cast<http::status>(response.status), version);
         out.set(http::field::content_type, "application/msgpack");
--- a/src/model/host.hpp
+++ b/src/model/host.hpp
@@ -24,11 +24,11 @@
 
 struct StartNote {
     std::uint32_t attempt = 0;
-    std::uint64_t tenure = 0;    // the session in which it was first sent
-    std::uint64_t tick = 0;      // the last report that was answered with it
-    double commandedS = -1e9;    // the last time it went out by /commands
-    bool seen = false;           // some report has listed it
-    int inFlight = 0;            // sent by /commands, reply outstanding
+    std::uint64_t tenure = 0;      // the session in which it was first sent
+    std::uint64_t tick = 0;        // the last report that was answered with it
+    double commandedS = -1e9;      // the last time it went out by /commands
+    bool seen = false;             // some report has listed it
+    int inFlight = 0;              // sent by /commands, reply outstanding
     std::uint64_t unanswered = 0;  // baton of a /commands start that got no reply: it may execute minutes later
 };
 
@@ -40,7 +40,7 @@
 struct HostNotes {
     StateMachine<HostState, HostTraits> state{HostState::claiming};
     std::uint64_t tenure = 0, tick = 0, baton = 0, checkinTick = 0;
-    double lastReportS = -1e9;      // when the last report that we answer with 200 came in
+    double lastReportS = -1e9;       // when the last report that we answer with 200 came in
     std::optional<double> reclaimS;  // steady time at which the cloud takes the machine
     std::string address;
     std::map<TaskKey, Seen> tasks;
@@ -54,9 +54,7 @@
     double idleSinceS = -1;
 
     // Newer than everything seen before? Older reports are ignored: their task lists are as old as they are.
-    bool newer(const wire::Report& r) const {
-        return r.tenure > tenure || (r.tenure == tenure && r.tick > tick);
-    }
+    bool newer(const wire::Report& r) const { return r.tenure > tenure || (r.tenure == tenure && r.tick > tick); }
     // Takes over the contents of a report, from a check-in or from the reply of a command.
     void take(const wire::Report& r, bool checkin, double nowS);
     // A new keepership: what was noted under the last one proves nothing any more.
--- a/src/model/states.hpp
+++ b/src/model/states.hpp
@@ -14,9 +14,12 @@
     }
     static bool allows(JobState from, JobState to) {
         switch (from) {
-            case JobState::active: return to != JobState::active;
-            case JobState::withdrawn: return to == JobState::aborted;
-            default: return false;  // final for ever
+            case JobState::active:
+                return to != JobState::active;
+            case JobState::withdrawn:
+                return to == JobState::aborted;
+            default:
+                return false;  // final for ever
         }
     }
 };
@@ -36,12 +39,12 @@
 
 // A machine as its keeper sees it.
 enum class HostState {
-    claiming,   // reported here; the registration is not durable yet
-    kept,       // registered here; older commands may still reach it
-    fenced,     // has confirmed our baton: nobody else's command can reach it
-    silent,     // no report for a while; its lease may still run
-    expired,    // the lease has run out by our own count: its tasks are gone
-    released,   // somebody else keeps it, or we have let go
+    claiming,  // reported here; the registration is not durable yet
+    kept,      // registered here; older commands may still reach it
+    fenced,    // has confirmed our baton: nobody else's command can reach it
+    silent,    // no report for a while; its lease may still run
+    expired,   // the lease has run out by our own count: its tasks are gone
+    released,  // somebody else keeps it, or we have let go
 };
 struct HostTraits {
     static const char* name(HostState s) {
@@ -50,25 +53,25 @@
     }
     static bool allows(HostState from, HostState to) {
         switch (to) {
-            case HostState::claiming: return true;
-            case HostState::kept: return from != HostState::silent && from != HostState::expired;
-            case HostState::fenced: return from == HostState::kept || from == HostState::silent || from == HostState::expired;
-            case HostState::silent: return from == HostState::fenced;
-            case HostState::expired: return from == HostState::silent;
-            case HostState::released: return true;
+            case HostState::claiming:
+                return true;
+            case HostState::kept:
+                return from != HostState::silent && from != HostState::expired;
+            case HostState::fenced:
+                return from == HostState::kept || from == HostState::silent || from == HostState::expired;
+            case HostState::silent:
+                return from == HostState::fenced;
+            case HostState::expired:
+                return from == HostState::silent;
+            case HostState::released:
+                return true;
         }
         return false;
     }
 };
 
+// A gang's state follows from those of its steps (Core::gang_state): it is never set.
 enum class GangState { open, placed, broken, done };
-struct GangTraits {
-    static const char* name(GangState s) {
-        constexpr const char* n[] = {"open", "placed", "broken", "done"};
-        return n[static_cast<int>(s)];
-    }
-    static bool allows(GangState from, GangState to) { return from != GangState::done && from != to; }
-};
 
 // This process's own standing.
 enum class MemberState {
--- a/src/model/view.cpp
+++ b/src/model/view.cpp
@@ -6,13 +6,27 @@
 namespace wellstair::model {
 
 namespace keys {
-std::string member(const std::string& name) { return "ws/members/" + name; }
-std::string job(const std::string& id) { return "ws/jobs/" + id; }
-std::string active(const std::string& id) { return "ws/active/" + id; }
-std::string chunk(const std::string& id, std::uint32_t chunk) { return "ws/steps/" + id + "/" + std::to_string(chunk); }
-std::string team(const std::string& name) { return "ws/teams/" + name; }
-std::string host(const std::string& name) { return "ws/hosts/" + name; }
-std::string returned(const std::string& name) { return "ws/returns/" + name; }
+std::string member(const std::string& name) {
+    return "ws/members/" + name;
+}
+std::string job(const std::string& id) {
+    return "ws/jobs/" + id;
+}
+std::string active(const std::string& id) {
+    return "ws/active/" + id;
+}
+std::string chunk(const std::string& id, std::uint32_t chunk) {
+    return "ws/steps/" + id + "/" + std::to_string(chunk);
+}
+std::string team(const std::string& name) {
+    return "ws/teams/" + name;
+}
+std::string host(const std::string& name) {
+    return "ws/hosts/" + name;
+}
+std::string returned(const std::string& name) {
+    return "ws/returns/" + name;
+}
 }  // namespace keys
 
 Step Job::step(std::uint32_t index, std::uint32_t chunkSize) const {
@@ -156,7 +170,7 @@
             job.chunks.resize((job.spec->steps + chunkSize_ - 1) / chunkSize_);
             job.order = stamp;
             job.atS = data->value("at", std::int64_t{0});
-            if (job.known()) queue_[job.order * 1024 + (std::hash<std::string>{}(id) & 1023)] = &job;
+            if (job.known()) queue_[job.order * 1024 + (std::hash<std::string>{}(id)&1023)] = &job;
         }
     }
 }
@@ -176,7 +190,7 @@
     if (data->value("w", false)) job.state.become(JobState::withdrawn);
     if (fresh && job.spec) {
         // Jobs of one transaction share a revision: the low bits only keep their keys apart.
-        std::uint64_t key = job.order * 1024 + (std::hash<std::string>{}(id) & 1023);
+        std::uint64_t key = job.order * 1024 + (std::hash<std::string>{}(id)&1023);
         while (queue_.count(key) && queue_[key] != &job) ++key;
         queue_[key] = &job;
     }
@@ -245,7 +259,8 @@
 void View::set_steps(Job& job, std::uint32_t c, std::vector<Step> next, double wallS) {
     Chunk& chunk = job.chunks[c];
     if (chunk.steps.empty()) chunk.steps.resize(next.size());
-    for (std::uint32_t i = 0; i < next.size(); ++i) change_step(job, c * chunkSize_ + i, chunk.steps[i], next[i], wallS);
+    for (std::uint32_t i = 0; i < next.size(); ++i)
+        change_step(job, c * chunkSize_ + i, chunk.steps[i], next[i], wallS);
 }
 
 void View::change_step(Job& job, std::uint32_t index, Step& step, const Step& next, double wallS) {
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -1,4 +1,5 @@
-// The typed picture of what the state service holds. Built from reads and from the watch alone; nothing here is a guess.
+// The typed picture of what the state service holds. Built from reads and from the watch alone; nothing here is a
+// guess.
 #pragma once
 
 #include <cstdint>
@@ -36,10 +37,10 @@
 
 struct Step {
     StateMachine<StepState, StepTraits> state{StepState::open};
-    std::uint32_t attempt = 0;    // the last one given out
-    HostRecord* host = nullptr;   // while placed
-    std::uint64_t baton = 0;      // of the keepership under which it was placed
-    std::int64_t atS = 0;         // time of day of the intent
+    std::uint32_t attempt = 0;   // the last one given out
+    HostRecord* host = nullptr;  // while placed
+    std::uint64_t baton = 0;     // of the keepership under which it was placed
+    std::int64_t atS = 0;        // time of day of the intent
 };
 
 struct Chunk {
@@ -99,7 +100,9 @@
     std::uint64_t stamp;
 };
 
-inline std::int64_t milli(double amount) { return static_cast<std::int64_t>(amount * 1000 + 0.5); }
+inline std::int64_t milli(double amount) {
+    return static_cast<std::int64_t>(amount * 1000 + 0.5);
+}
 
 class View {
   public:
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -21,8 +21,12 @@
         return cores <= room.cores + e && gpus <= room.gpus + e && ramGb <= room.ramGb + e;
     }
 };
-inline Need operator-(const Need& a, const Need& b) { return {a.cores - b.cores, a.gpus - b.gpus, a.ramGb - b.ramGb}; }
-inline Need operator+(Need a, const Need& b) { return a += b; }
+inline Need operator-(const Need& a, const Need& b) {
+    return {a.cores - b.cores, a.gpus - b.gpus, a.ramGb - b.ramGb};
+}
+inline Need operator+(Need a, const Need& b) {
+    return a += b;
+}
 
 struct Hold {
     double from, until;
@@ -46,9 +50,9 @@
     double imageGb = 0, expectS = 0;
     std::uint32_t count = 0;
     bool together = false, scatter = false;
-    std::uint32_t scatterCap = 0;                        // most tasks in one zone
+    std::uint32_t scatterCap = 0;                               // most tasks in one zone
     std::vector<std::pair<std::string, std::uint32_t>> inHall;  // tasks that the job already has per zone
-    std::vector<bool> allowed;                           // by machine
+    std::vector<bool> allowed;                                  // by machine
 };
 
 struct Slot {
@@ -57,8 +61,8 @@
 };
 
 struct Weights {
-    double w = 1;            // weight of the load term in LEA
-    double gpuCareS = 0;     // per machine: a task without GPUs on a machine that has them
+    double w = 1;         // weight of the load term in LEA
+    double gpuCareS = 0;  // per machine: a task without GPUs on a machine that has them
     enum class Mode { mixed, eft, lea } mode = Mode::mixed;  // the last two for ablations
 };
 
--- a/src/placement/overload.cpp
+++ b/src/placement/overload.cpp
@@ -25,9 +25,8 @@
             in.push_back(i);
             work += jobs[i].work;
             if (work / rate <= jobs[i].due[level]) continue;
-            auto most = std::max_element(in.begin(), in.end(), [&](std::size_t a, std::size_t b) {
-                return jobs[a].work < jobs[b].work;
-            });
+            auto most = std::max_element(in.begin(), in.end(),
+                                         [&](std::size_t a, std::size_t b) { return jobs[a].work < jobs[b].work; });
             work -= jobs[*most].work;
             later.push_back(*most);
             in.erase(most);
--- a/src/placement/overload.hpp
+++ b/src/placement/overload.hpp
@@ -7,8 +7,8 @@
 namespace wellstair::placement {
 
 struct DueJob {
-    double work = 0;         // machine share x seconds that are left of it
-    double leastS = 0;       // it cannot take less than this, however much it gets
+    double work = 0;          // machine share x seconds that are left of it
+    double leastS = 0;        // it cannot take less than this, however much it gets
     std::vector<double> due;  // seconds from now by which it is wanted, dearest first; may be past
 };
 
--- a/src/placement/rental.cpp
+++ b/src/placement/rental.cpp
@@ -7,7 +7,9 @@
 namespace wellstair::placement {
 namespace {
 
-double ratio(double total, double need) { return need > 1e-9 ? total / need : std::numeric_limits<double>::infinity(); }
+double ratio(double total, double need) {
+    return need > 1e-9 ? total / need : std::numeric_limits<double>::infinity();
+}
 
 std::uint32_t capacity(const Need& total, const Need& need) {
     double n = std::min({ratio(total.cores, need.cores), ratio(total.gpus, need.gpus), ratio(total.ramGb, need.ramGb)});
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -116,15 +116,25 @@
 }
 
 Json to_json(const JobSpec& s) {
-    Json j = {{"ref", s.ref},           {"lane", s.lane},
-              {"crew", s.crew},         {"shape", s.shape == Shape::gang ? "gang" : s.shape == Shape::service ? "service" : "batch"},
+    Json j = {{"ref", s.ref},
+              {"lane", s.lane},
+              {"crew", s.crew},
+              {"shape", s.shape == Shape::gang      ? "gang"
+                        : s.shape == Shape::service ? "service"
+                                                    : "batch"},
               {"rank", kRanks[static_cast<std::size_t>(s.rank)]},
-              {"steps", s.steps},       {"cores", s.cores},
-              {"gpus", s.gpus},         {"ramGb", s.ramGb},
-              {"bundle", s.bundle},     {"imageGb", s.imageGb},
-              {"together", s.together}, {"scatter", s.scatter},
-              {"loaners", s.loaners},   {"expectS", s.expectS},
-              {"snapshotS", s.snapshotS}, {"flushS", s.flushS}};
+              {"steps", s.steps},
+              {"cores", s.cores},
+              {"gpus", s.gpus},
+              {"ramGb", s.ramGb},
+              {"bundle", s.bundle},
+              {"imageGb", s.imageGb},
+              {"together", s.together},
+              {"scatter", s.scatter},
+              {"loaners", s.loaners},
+              {"expectS", s.expectS},
+              {"snapshotS", s.snapshotS},
+              {"flushS", s.flushS}};
     if (s.builds) j["builds"] = *s.builds;
     if (s.hall) j["hall"] = *s.hall;
     if (s.dueS) j["dueS"] = *s.dueS;
@@ -182,9 +192,8 @@
 
 Json to_json(const Order& o) {
     static constexpr std::array verbs = {"start", "halt", "reap"};
-    Json j = {{"verb", verbs[static_cast<std::size_t>(o.verb)]},
-              {"step", step_name(o.job, o.index)},
-              {"try", o.attempt}};
+    Json j = {
+        {"verb", verbs[static_cast<std::size_t>(o.verb)]}, {"step", step_name(o.job, o.index)}, {"try", o.attempt}};
     if (o.verb == Verb::halt) j["windDownS"] = o.windDownS;
     return j;
 }
@@ -215,11 +224,10 @@
 }
 
 Json to_json(const MachineType& t) {
-    return {{"sku", t.sku},         {"cores", t.cores},
-            {"gpus", t.gpus},       {"ramGb", t.ramGb},
-            {"cacheGb", t.cacheGb}, {"fetchGbPerS", t.fetchGbPerS},
-            {"rate", t.rate},       {"lowPrice", t.lowPrice},
-            {"startupS", t.startupS}, {"halls", t.halls}};
+    return {{"sku", t.sku},     {"cores", t.cores},       {"gpus", t.gpus},
+            {"ramGb", t.ramGb}, {"cacheGb", t.cacheGb},   {"fetchGbPerS", t.fetchGbPerS},
+            {"rate", t.rate},   {"lowPrice", t.lowPrice}, {"startupS", t.startupS},
+            {"halls", t.halls}};
 }
 
 std::optional<Machine> parse_machine(const Json& b) {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -60,7 +60,7 @@
         s.caches[1].ready("img", 1, 0);
         s.run(0, 200, {1, 0, 1});  // runs something, has room, lacks the image: 10 s to fetch
         s.machines[0].total = {9, 0, 32};
-        s.run(1, 130);             // warm, free in 30 s
+        s.run(1, 130);  // warm, free in 30 s
         Weights weights;
         weights.w = w;
         Planner p(100, s.machines, weights);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -47,8 +47,8 @@
         txn["apply"].push_back(std::move(set));
         ASSERT_TRUE(store.commit(txn).starts_with("ok"));
     };
-    wire::Json type = {{"sku", "big"}, {"cores", 200}, {"gpus", 0}, {"ramGb", 400}, {"cacheGb", 50},
-                       {"fetchGbPerS", 1}, {"rate", 1}, {"startupS", 20}, {"halls", {"a"}}};
+    wire::Json type = {{"sku", "big"},     {"cores", 200}, {"gpus", 0},      {"ramGb", 400},  {"cacheGb", 50},
+                       {"fetchGbPerS", 1}, {"rate", 1},    {"startupS", 20}, {"halls", {"a"}}};
     wire::Json types;
     types["builds"].push_back(type);
     put("ws/types", types);
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -1,10 +1,10 @@
+#include "app/settings.hpp"
+
 #include <gtest/gtest.h>
 
 #include <cstdio>
 #include <fstream>
 
-#include "app/settings.hpp"
-
 using namespace wellstair::app;
 
 namespace {
@@ -75,7 +75,9 @@
     return result;
 }
 
-TEST(Settings, AreReadAndUnknownFieldsIgnored) { EXPECT_EQ(outcome(kGood), "ok"); }
+TEST(Settings, AreReadAndUnknownFieldsIgnored) {
+    EXPECT_EQ(outcome(kGood), "ok");
+}
 
 TEST(Settings, SayWhichFieldIsWrong) {
     EXPECT_EQ(outcome(kGood, "member = \"s-0\"\n", ""), "member: expected a text that is not empty");
@@ -84,7 +86,8 @@
     EXPECT_EQ(outcome(kGood, "lease_s = 22.0", "lease_s = 0"), "deployment.workers.lease_s: expected a number above 0");
     EXPECT_EQ(outcome(kGood, "lease_s = 22.0", "lease_s = \"22\""),
               "deployment.workers.lease_s: expected a number above 0");
-    EXPECT_EQ(outcome(kGood, "txn_ops = 16", "txn_ops = 2"), "deployment.state.txn_ops: expected an integer of at least 4");
+    EXPECT_EQ(outcome(kGood, "txn_ops = 16", "txn_ops = 2"),
+              "deployment.state.txn_ops: expected an integer of at least 4");
     EXPECT_EQ(outcome(kGood, "[deployment.cloud]\nrps = 5.0\nlist_lag_s = 6.0\n", ""),
               "deployment.cloud: expected a table");
     EXPECT_EQ(outcome(kGood, "cpus = 10.0", "cpus = -1.0"), "deployment.teams.cpus: expected a number of at least 0");
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 Json job() {
-    return {{"ref", "j-000412"}, {"lane", "train"},  {"crew", "vision"},  {"shape", "gang"},    {"rank", "urgent"},
-            {"steps", 16},       {"cores", 8.0},     {"gpus", 1.0},       {"ramGb", 64.0},      {"bundle", "img-07"},
-            {"imageGb", 6.2},    {"builds", {"g8"}}, {"hall", nullptr},   {"together", true},   {"scatter", false},
-            {"loaners", true},   {"expectS", 240.0}, {"snapshotS", 30.0}, {"flushS", 4.0},      {"dueS", 900.0}};
+    return {{"ref", "j-000412"}, {"lane", "train"},  {"crew", "vision"},  {"shape", "gang"},  {"rank", "urgent"},
+            {"steps", 16},       {"cores", 8.0},     {"gpus", 1.0},       {"ramGb", 64.0},    {"bundle", "img-07"},
+            {"imageGb", 6.2},    {"builds", {"g8"}}, {"hall", nullptr},   {"together", true}, {"scatter", false},
+            {"loaners", true},   {"expectS", 240.0}, {"snapshotS", 30.0}, {"flushS", 4.0},    {"dueS", 900.0}};
 }
 
 TEST(Wire, JobSurvivesTheRoundTrip) {
@@ -69,11 +69,20 @@
 }
 
 // 60,000 lists in one another would otherwise recurse as deep.
-TEST(Wire, NestingIsBounded) { EXPECT_FALSE(decode(std::string(60000, '\x91') + '\x01')); }
+TEST(Wire, NestingIsBounded) {
+    EXPECT_FALSE(decode(std::string(60000, '\x91') + '\x01'));
+}
 
 TEST(Wire, ReportsAreRead) {
-    Json body = {{"host", "n-000231"}, {"address", "10.1.0.232:9000"}, {"build", "g8"}, {"hall", "a"},
-                 {"loaners", true},    {"tenure", 1}, {"tick", 88},    {"baton", 41},   {"reclaimS", nullptr},
+    Json body = {{"host", "n-000231"},
+                 {"address", "10.1.0.232:9000"},
+                 {"build", "g8"},
+                 {"hall", "a"},
+                 {"loaners", true},
+                 {"tenure", 1},
+                 {"tick", 88},
+                 {"baton", 41},
+                 {"reclaimS", nullptr},
                  {"steps",
                   {{{"step", "j-000412/3"}, {"try", 2}, {"phase", "running"}},
                    {{"step", "j-000398/0"}, {"try", 1}, {"phase", "ended"}, {"cause", "halted"}, {"kept", true}}}}};
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -80,9 +80,9 @@
 }
 
 wire::JobSpec spec_of(const std::string& ref, std::istringstream& in) {
-    Json j = {{"ref", ref},        {"lane", "work"},     {"crew", "blue"},   {"shape", "batch"},  {"rank", "standard"},
-              {"steps", 1},        {"cores", 4.0},       {"gpus", 0.0},      {"ramGb", 4.0},      {"bundle", "img"},
-              {"imageGb", 1.0},    {"together", false},  {"scatter", false}, {"loaners", false},  {"expectS", 60.0},
+    Json j = {{"ref", ref},        {"lane", "work"},    {"crew", "blue"},   {"shape", "batch"}, {"rank", "standard"},
+              {"steps", 1},        {"cores", 4.0},      {"gpus", 0.0},      {"ramGb", 4.0},     {"bundle", "img"},
+              {"imageGb", 1.0},    {"together", false}, {"scatter", false}, {"loaners", false}, {"expectS", 60.0},
               {"snapshotS", 10.0}, {"flushS", 2.0}};
     std::string pair;
     while (in >> pair) {
@@ -161,12 +161,27 @@
                 if (other != n) c.settings.members.push_back({other, other, {}});
         }
         Json types = {{"builds",
-                       {{{"sku", "c8"}, {"cores", 8}, {"gpus", 0}, {"ramGb", 32}, {"cacheGb", 50}, {"fetchGbPerS", 1},
-                         {"rate", 1}, {"lowPrice", 0.3}, {"startupS", 20}, {"halls", {"a", "b"}}},
-                        {{"sku", "g8"}, {"cores", 8}, {"gpus", 2}, {"ramGb", 32}, {"cacheGb", 50}, {"fetchGbPerS", 1},
-                         {"rate", 9}, {"lowPrice", 3}, {"startupS", 20}, {"halls", {"a", "b"}}}}}};
-        store_.commit({{"when", Json::array()},
-                       {"apply", {{{"set", "ws/types"}, {"data", types}}}}});
+                       {{{"sku", "c8"},
+                         {"cores", 8},
+                         {"gpus", 0},
+                         {"ramGb", 32},
+                         {"cacheGb", 50},
+                         {"fetchGbPerS", 1},
+                         {"rate", 1},
+                         {"lowPrice", 0.3},
+                         {"startupS", 20},
+                         {"halls", {"a", "b"}}},
+                        {{"sku", "g8"},
+                         {"cores", 8},
+                         {"gpus", 2},
+                         {"ramGb", 32},
+                         {"cacheGb", 50},
+                         {"fetchGbPerS", 1},
+                         {"rate", 9},
+                         {"lowPrice", 3},
+                         {"startupS", 20},
+                         {"halls", {"a", "b"}}}}}};
+        store_.commit({{"when", Json::array()}, {"apply", {{{"set", "ws/types"}, {"data", types}}}}});
         return "";
     }
     if (verb == "wait") {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -39,7 +39,7 @@
     struct Controller {
         app::Settings settings;
         std::unique_ptr<controller::Core> core;
-        wire::Json held;  // a transaction that has not reached the store yet
+        wire::Json held;                                       // a transaction that has not reached the store yet
         std::map<std::string, std::vector<wire::Order>> sent;  // commands without an answer so far
     };
     Controller& at(const std::string& name);
