--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -197,7 +197,8 @@
             jobs.push_back(std::move(d));
         }
         if (limit <= 0 || wanted <= limit) continue;
-        auto order = placement::order_by_due(jobs, limit);
+        // Fetches, hand-overs and wrong estimates take a part of what the limit allows.
+        auto order = placement::order_by_due(jobs, 0.85 * limit);
         std::vector<Queued> sorted;
         for (std::size_t k : order) sorted.push_back(queue[places[k]]);
         for (std::size_t k = 0; k < places.size(); ++k) queue[places[k]] = sorted[k];
