--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -197,10 +197,6 @@
         bool fresh = old == before.end() || old->second.attempt != seen.attempt || old->second.phase != seen.phase;
         if (!fresh) continue;
         changed = true;
-        // First attempts only: later ones may go on from a checkpoint.
-        if (seen.phase == wire::TaskPhase::ended && seen.cause == wire::Cause::done && seen.attempt == 1 &&
-            old != before.end() && old->second.attempt == 1 && old->second.phase == wire::TaskPhase::running)
-            if (Job* job = view_->job(key.first)) learn(*job->spec, now.steady - old->second.sinceS);
         if (seen.phase == wire::TaskPhase::ended) note_end(n, r.host, key, seen, now);
         if (seen.phase == wire::TaskPhase::running || seen.phase == wire::TaskPhase::waiting)
             if (Job* job = view_->job(key.first)) {
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -158,8 +158,6 @@
     Plan make_plan(Moment now);
     void preempt(const Plan& plan, Moment now);
     void note_arrivals(Moment now);
-    double expected(const wire::JobSpec& spec) const;
-    void learn(const wire::JobSpec& spec, double ranS);
     placement::Request probe(const wire::JobSpec& spec, std::uint32_t count,
                              const std::vector<placement::Machine>& machines) const;
     std::set<const model::Job*> beyond_guarantee() const;
@@ -222,11 +220,6 @@
     // What one job of a team and rank takes, as seen of late.
     std::map<std::pair<std::string, int>, Urgent> urgent_;
     std::set<std::string> counted_;
-    struct Bias {
-        double log = 0;
-        int samples = 0;
-    };
-    std::map<std::string, Bias> biases_;  // by lane: how long tasks run, compared with their estimates
 };
 
 }  // namespace wellstair::controller
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -58,20 +58,6 @@
     return now.wall - h.registeredS > settings_.reportS / 2;
 }
 
-// The owner's estimate, corrected by how long the lane's tasks have really run of late.
-double Core::expected(const wire::JobSpec& spec) const {
-    auto it = biases_.find(spec.lane);
-    return it == biases_.end() || it->second.samples < 8 ? spec.expectS : spec.expectS * std::exp(it->second.log);
-}
-
-void Core::learn(const wire::JobSpec& spec, double ranS) {
-    if (spec.expectS <= 0 || ranS <= 0) return;
-    constexpr double kMost = 0.7;  // estimates are often wrong by half, some by more: no single one moves it far
-    Bias& b = biases_[spec.lane];
-    double log = std::clamp(std::log(ranS / spec.expectS), -kMost, kMost);
-    b.log += (log - b.log) / std::min(++b.samples, 30);
-}
-
 placement::Weights Core::weights(std::size_t machines) const {
     placement::Weights w;
     w.w = tunables_.leaWeight > 0 ? tunables_.leaWeight : static_cast<double>(machines);
@@ -101,9 +87,9 @@
         for (const StepRef& ref : h->placed) {
             const wire::JobSpec& s = *ref.job->spec;
             Step step = ref.job->step(ref.index, view_->chunk_size());
-            double until = step.atS + s.imageGb / m.fetchGbPerS + expected(s);
+            double until = step.atS + s.imageGb / m.fetchGbPerS + s.expectS;
             // Overdue by its estimate: expect a part of the estimate more.
-            until = std::max(until, now.wall + std::max(settings_.reportS, expected(s) / 5));
+            until = std::max(until, now.wall + std::max(settings_.reportS, s.expectS / 5));
             m.holds.push_back({now.wall - 1, until, need_of(s)});
         }
         out.push_back(std::move(m));
@@ -118,7 +104,7 @@
     r.need = need_of(s);
     r.image = s.bundle;
     r.imageGb = s.imageGb;
-    r.expectS = std::max(expected(s), 0.1);
+    r.expectS = std::max(s.expectS, 0.1);
     r.together = s.together;
     r.scatter = s.scatter;
     r.scatterCap = (s.steps + 1) / 2;
@@ -169,11 +155,11 @@
     std::vector<double> out;
     for (const auto& o : settings_.objectives) {
         // What is to start in time has to be over one run time later.
-        if (o.kind == "guarantee" && !beyond && o.withinS > 0) out.push_back(o.withinS + expected(spec));
+        if (o.kind == "guarantee" && !beyond && o.withinS > 0) out.push_back(o.withinS + spec.expectS);
         if (o.lane != spec.lane) continue;
         if (o.kind == "deadline" && spec.dueS) out.push_back(*spec.dueS * (o.times > 0 ? o.times : 1));
         if (o.kind == "finished" && o.withinS > 0) out.push_back(o.withinS);
-        if (o.kind == "wait" && o.withinS > 0) out.push_back(o.withinS + expected(spec));
+        if (o.kind == "wait" && o.withinS > 0) out.push_back(o.withinS + spec.expectS);
     }
     if (out.empty() && spec.dueS) out.push_back(*spec.dueS);
     std::sort(out.begin(), out.end());
@@ -199,15 +185,14 @@
         for (std::size_t i : places) {
             const Job& job = *queue[i].job;
             const wire::JobSpec& s = *job.spec;
-            double each = expected(s);
-            double remaining = job.open() * each;
+            double remaining = job.open() * s.expectS;
             for (const auto& chunk : job.chunks)
                 if (chunk.placed)
                     for (const Step& step : chunk.steps)
                         if (step.state == StepState::placed)
-                            remaining += std::max(each / 5, each - (now.wall - step.atS));
+                            remaining += std::max(s.expectS / 5, s.expectS - (now.wall - step.atS));
             wanted += size(s) * (s.steps - job.done);
-            placement::DueJob d{remaining * size(s), each, due_times(s, queue[i].beyond)};
+            placement::DueJob d{remaining * size(s), s.expectS, due_times(s, queue[i].beyond)};
             for (double& due : d.due) due -= now.wall - job.atS;
             jobs.push_back(std::move(d));
         }
@@ -410,7 +395,7 @@
                     if (!lower && !borrowed) continue;
                     double ran = now.wall - ref.job->step(ref.index, view_->chunk_size()).atS;
                     double lost = v.snapshotS > 0 ? v.flushS : ran;
-                    double left = expected(v) - ran;
+                    double left = v.expectS - ran;
                     victims.push_back({ref, lost + (left < settings_.reportS ? v.expectS : 0) + settings_.reportS});
                 }
                 std::sort(victims.begin(), victims.end(),
