Answers to repeats read up to the moment; jobs of one transaction cannot push one another out of the queue

Found by reading: a repeat of a submission could be answered from a view older than a withdrawal told elsewhere; two jobs of one transaction could share a queue key at start-up; a watch reply held up on the way counted as contact at its arrival.

--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -96,8 +96,9 @@
         std::string why(e.description());
         for (char& c : why)
             if (c == '\n') c = ' ';
-        throw SettingsError(path + ": line " + std::to_string(e.source().begin.line) +
-                            ": expected a readable TOML file (" + why + ")");
+        auto line = e.source().begin.line;
+        throw SettingsError(path + ": " + (line ? "line " + std::to_string(line) + ": " : "") +
+                            "expected a readable TOML file (" + why + ")");
     }
     Reader r(path, root);
     Settings s;
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -416,10 +416,15 @@
         Draft draft = core_.new_draft();
         std::vector<OpPtr> batch;
         std::deque<OpPtr> rest;
+        // Known by now, but the view may be older than what another controller has told the user already.
+        std::vector<OpPtr> stale;
         for (auto& op : ops_) {
             if (op->kind == UserOp::submit) {
-                if (auto known = core_.known(op->id))
+                auto known = core_.known(op->id);
+                if (known && (op->fresh || core_.view().final(op->id)))
                     op->answer = known;
+                else if (known)
+                    stale.push_back(op);
                 else if (draft.submit(op->spec, settings_.member, static_cast<std::int64_t>(net::wall_now())))
                     batch.push_back(op);
                 else
@@ -435,6 +440,16 @@
             }
         }
         ops_ = std::move(rest);
+        if (!stale.empty()) {
+            bool ok = co_await barrier(kStoreTimeoutS);
+            for (auto& op : stale) {
+                op->fresh = ok;
+                if (ok)
+                    ops_.push_back(op);
+                else
+                    op->answer = busy_answer("the state service does not answer");
+            }
+        }
         if (batch.empty()) {
             changed_.notify();
             continue;
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -27,6 +27,7 @@
         wire::JobSpec spec;
         double deadline = 0;
         bool retried = false;
+        bool fresh = false;  // the view has been read up to a moment after the request came
         std::optional<Answer> answer;
     };
     using OpPtr = std::shared_ptr<UserOp>;
--- a/src/model/view.cpp
+++ b/src/model/view.cpp
@@ -188,12 +188,14 @@
     job.owner = data->value("o", "");
     job.stopAttempt = data->value("stop", 0u);
     if (data->value("w", false)) job.state.become(JobState::withdrawn);
-    if (fresh && job.spec) {
-        // Jobs of one transaction share a revision: the low bits only keep their keys apart.
-        std::uint64_t key = job.order * 1024 + (std::hash<std::string>{}(id)&1023);
-        while (queue_.count(key) && queue_[key] != &job) ++key;
-        queue_[key] = &job;
-    }
+    if (fresh && job.spec) enqueue(job);
+}
+
+// Jobs of one transaction share a revision: the low bits keep their keys apart, and none may push another out.
+void View::enqueue(Job& job) {
+    std::uint64_t key = job.order * 1024 + (std::hash<std::string>{}(job.id) & 1023);
+    while (queue_.count(key)) ++key;
+    queue_[key] = &job;
 }
 
 void View::drop_if_over(const std::string& id) {
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -147,6 +147,7 @@
 
   private:
     Job& job_entry(const std::string& id);
+    void enqueue(Job& job);
     void drop_if_over(const std::string& id);
     void apply_job(const std::string& id, const Json* data, std::uint64_t stamp);
     void apply_active(const std::string& id, const Json* data, std::uint64_t stamp);
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -59,8 +59,8 @@
     net::HttpClient& http = watch ? watch_ : http_;
     net::Reply r = co_await http.request(method, std::move(target), std::move(body), timeoutS);
     if (r.outcome == net::Reply::answered && r.status != 503) {
-        // A watch may have been open for long: only its reply tells of the present.
-        lastOk_ = std::max(lastOk_, watch ? net::steady_now() - 0.1 : sent);
+        // As of when it was sent: a reply may have been held up on the way, and tells of no later moment than that.
+        lastOk_ = std::max(lastOk_, sent);
         if (r.status == 429)
             requests_.refused(net::steady_now());
         else
