A keeper that is quiet among the controllers is not named to its machines

Cause: after a crash a machine was sent back to the dead keeper while its member lease still stood, and lost a second or more.

--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -164,9 +164,12 @@
     if (to == settings_.member) return {Admission::claim, ""};  // an earlier process of ours
     if (to.empty() || !view_->member_live(to)) to = preferred(r.host, r.hall);
     if (to == settings_.member || to.empty()) return {Admission::claim, ""};
-    if (auto it = hints_.find(to);
-        it != hints_.end() && now.steady - it->second.atS < settings_.reportS && !it->second.hint.live)
-        return {Admission::claim, ""};
+    // Workers leave a controller only when it fails them. One that says it has let go, or that has gone quiet among the
+    // controllers, too, would only fail this one again.
+    if (auto it = hints_.find(to); it != hints_.end()) {
+        double quiet = now.steady - it->second.atS;
+        if (!it->second.hint.live || quiet > settings_.reportS / 2) return {Admission::claim, ""};
+    }
     // A host that comes back soon after being sent away could not reach the one it was sent to.
     double& at = redirected_[r.host];
     if (at > 0 && now.steady - at < settings_.leaseS) {
