A key is written once in a transaction

Found by reading: two copies of one request in one batch, or two reasons to return one machine, put the same key twice into a transaction; what the state service makes of that is not said.

--- a/src/controller/draft.cpp
+++ b/src/controller/draft.cpp
@@ -1,5 +1,7 @@
 #include "controller/draft.hpp"
 
+#include <algorithm>
+
 namespace wellstair::controller {
 
 using model::Job;
@@ -29,6 +31,10 @@
            bytes_ + bytes <= wire::kBodyLimit * 2 / 3;
 }
 
+bool Draft::has(const std::string& path) const {
+    return std::any_of(sets_.begin(), sets_.end(), [&](const auto& s) { return s.first == path; });
+}
+
 void Draft::set(const std::string& path, Json data, std::uint64_t hold) {
     if (hold) holds_[path] = hold;
     sets_.emplace_back(path, std::move(data));
@@ -57,6 +63,7 @@
 }
 
 bool Draft::submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS) {
+    if (has(keys::active(spec.ref))) return true;
     Json body = {{"s", to_json(spec)}, {"at", atS}};
     std::size_t bytes = body.dump().size() + 200;
     if (!room(2, 2, bytes)) return false;
@@ -69,6 +76,7 @@
 }
 
 bool Draft::withdraw(Job& job) {
+    if (has(keys::active(job.id))) return true;
     if (!room(1, 1, 100)) return false;
     bytes_ += 100;
     when(keys::active(job.id), job.activeStamp);
@@ -78,6 +86,7 @@
 }
 
 bool Draft::stop_attempt(Job& job, std::uint32_t attempt) {
+    if (has(keys::active(job.id))) return true;
     if (!room(1, 1, 100)) return false;
     bytes_ += 100;
     when(keys::active(job.id), job.activeStamp);
@@ -103,7 +112,7 @@
     if (!room(fresh, static_cast<int>(2 * hosts.size() + chunks.size() + 2),
               kStepBytes * tasks.size() + chunks.size() * 200))
         return false;
-    if (bound && std::none_of(sets_.begin(), sets_.end(), [&](auto& s) { return s.first == keys::active(job.id); })) {
+    if (bound && !has(keys::active(job.id))) {
         when(keys::active(job.id), job.activeStamp);
         set(keys::active(job.id), {{"o", job.owner}, {"stop", job.stopAttempt}});
     }
@@ -168,6 +177,7 @@
 }
 
 bool Draft::claim(const wire::Report& r, const std::string& keeper, std::uint64_t incarnation, std::uint64_t stamp) {
+    if (has(keys::host(r.host))) return true;
     if (!room(1, 1, 300)) return false;
     bytes_ += 300;
     when(keys::host(r.host), stamp);
@@ -183,6 +193,7 @@
 
 bool Draft::mark_return(const std::string& host, std::uint64_t stamp, std::int64_t atS, bool gone,
                         const std::string& why) {
+    if (has(keys::returned(host))) return true;
     if (!room(1, 1, 150)) return false;
     bytes_ += 150;
     when(keys::returned(host), stamp);
@@ -206,6 +217,7 @@
 }
 
 bool Draft::put(const std::string& path, std::uint64_t stamp, Json data, std::uint64_t hold) {
+    if (has(path)) return true;
     if (!room(1, 1, 8192)) return false;
     bytes_ += 8192;
     when(path, stamp);
--- a/src/controller/draft.hpp
+++ b/src/controller/draft.hpp
@@ -22,7 +22,9 @@
     // Every transaction carries `member` (path and stamp): a deposed controller's cannot apply.
     Draft(model::View& view, const app::Settings& settings, const std::string& member, std::uint64_t memberStamp);
 
-    // Each returns false, changing nothing, when the transaction has no room left for it.
+    // Each returns false, changing nothing, when the transaction has no room left for it. A key is written once in a
+    // transaction: what would write it again (a user's repeat in the same batch, a second reason to return a machine)
+    // is covered by the first and returns true.
     bool submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS);
     bool withdraw(model::Job& job);
     bool stop_attempt(model::Job& job, std::uint32_t attempt);
@@ -45,6 +47,7 @@
   private:
     using ChunkKey = std::pair<model::Job*, std::uint32_t>;
     bool room(int writes, int conditions, std::size_t bytes) const;
+    bool has(const std::string& path) const;
     std::vector<model::Step>& edit(model::Job& job, std::uint32_t chunk);
     void when(const std::string& path, std::uint64_t stamp) { when_[path] = stamp; }
     void set(const std::string& path, wire::Json data, std::uint64_t hold = 0);
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -108,4 +108,27 @@
     EXPECT_EQ(core.view().teams().at("blue").cores, 0);
 }
 
+// A user's repeats in one batch, or two reasons to return one machine, must not write a key twice in a transaction:
+// what the state service makes of that is not said.
+TEST(Scale, AKeyIsWrittenOnceInATransaction) {
+    app::Settings settings;
+    settings.member = "a";
+    settings.teams = {{"blue", 0, 0, 0, 0}};
+    settings.reportS = 3, settings.leaseS = 20, settings.valueKb = 8, settings.txnOps = 16;
+    controller::Core core(settings, {}, 1);
+    wire::JobSpec spec;
+    spec.ref = "j-1", spec.lane = "work", spec.crew = "blue", spec.bundle = "img", spec.steps = 1;
+    wire::Report report;
+    report.host = "n-1";
+    auto draft = core.new_draft();
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_TRUE(draft.submit(spec, "a", 0));
+        EXPECT_TRUE(draft.claim(report, "a", 1, 0));
+        EXPECT_TRUE(draft.mark_return("n-2", 0, 0, false, "surplus"));
+    }
+    EXPECT_EQ(draft.writes(), 4);
+    std::set<std::string> paths;
+    for (const auto& op : draft.build().body["apply"]) EXPECT_TRUE(paths.insert(op["set"]).second) << op["set"];
+}
+
 }  // namespace
