--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -128,7 +128,8 @@
     }
     EXPECT_EQ(draft.writes(), 4);
     std::set<std::string> paths;
-    for (const auto& op : draft.build().body["apply"]) EXPECT_TRUE(paths.insert(op["set"]).second) << op["set"];
+    auto txn = draft.build();
+    for (const auto& op : txn.body["apply"]) EXPECT_TRUE(paths.insert(op["set"]).second) << op["set"];
 }
 
 }  // namespace
