Close channels of machines that are gone; unused members removed

A connection to every machine ever commanded would have been kept, and in the long run the sockets used up.

--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -92,7 +92,6 @@
       store_(io, s),
       cloud_(io, s),
       channels_(io),
-      startedS_(net::steady_now()),
       changed_(io),
       work_(io),
       userWork_(io),
@@ -377,6 +376,8 @@
     for (;;) {
         co_await net::sleep_for(io_, 0.25);
         judge_standing();
+        // Connections to machines that are gone, or kept elsewhere, would use up the sockets in the long run.
+        channels_.prune([this](const std::string& host) { return core_.notes(host) != nullptr; });
     }
 }
 
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -76,7 +76,6 @@
     std::unique_ptr<peers::Mesh> mesh_;
 
     std::uint64_t hold_ = 0;
-    double startedS_;
     net::Signal changed_;  // the view has moved on
     net::Signal work_;     // a round is due
     net::Signal userWork_;
@@ -84,7 +83,6 @@
     std::uint64_t barrierWanted_ = 0, barrierStarted_ = 0, barrierOk_ = 0, barrierFailed_ = 0;
     std::deque<OpPtr> ops_;
     std::uint64_t asks_ = 0;
-    bool adrift_ = false;
     double adriftSince_ = 0;
 };
 
--- a/src/model/host.hpp
+++ b/src/model/host.hpp
@@ -51,7 +51,6 @@
     int failures = 0;                 // errors in a row
     std::set<std::string> failedJobs;
     double quarantineUntilS = -1e9;
-    double idleSinceS = -1;
 
     // Newer than everything seen before? Older reports are ignored: their task lists are as old as they are.
     bool newer(const wire::Report& r) const { return r.tenure > tenure || (r.tenure == tenure && r.tick > tick); }
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -24,11 +24,6 @@
     tokens_ -= n;
 }
 
-double Budget::available(double now) {
-    refill(now);
-    return tokens_;
-}
-
 double Budget::wait_for(double n, double now) {
     refill(now);
     return std::max(0.0, (std::min(n, rate_) - tokens_) / rate_);
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -19,7 +19,6 @@
     Budget(double total, int members, double now);
     void spend(double n, double now);
     double wait_for(double n, double now);  // seconds until n can be spent, n at most the burst
-    double available(double now);
     void served(double now);
     void refused(double now);
 
@@ -63,7 +62,6 @@
 
     double last_ok() const { return lastOk_; }  // steady time of the last served request, as it was sent
     Budget& writes() { return writes_; }
-    Budget& requests() { return requests_; }
 
   private:
     asio::awaitable<net::Reply> call(net::verb method, std::string target, std::string body, double timeoutS,
--- a/src/workers/channel.hpp
+++ b/src/workers/channel.hpp
@@ -1,6 +1,7 @@
 // Commands straight to a worker's address: one at a time for each host, over a kept connection.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <unordered_map>
 
@@ -23,7 +24,10 @@
     bool busy(const std::string& host) const;
     asio::awaitable<CommandResult> command(std::string host, std::string address, std::uint64_t baton,
                                            std::uint64_t tenure, std::vector<wire::Order> orders, double timeoutS);
-    void forget(const std::string& host) { channels_.erase(host); }
+    // Drops the channels of hosts that are not to be kept, unless a command is under way there.
+    void prune(const std::function<bool(const std::string&)>& keep) {
+        std::erase_if(channels_, [&](const auto& e) { return !e.second.busy && !keep(e.first); });
+    }
 
   private:
     struct Channel {
