One function for what a machine has free; state that nobody read is gone

The planner computed a machine's free room in three places (earliest start, gang, preemption): free_at and fits_from now serve all. A doubt kept a count, and the settings reader a table, that were never used.

--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -11,7 +11,7 @@
 
 class Reader {
   public:
-    Reader(std::string file, const toml::table& root) : file_(std::move(file)), root_(root) {}
+    explicit Reader(std::string file) : file_(std::move(file)) {}
 
     [[noreturn]] void fail(const std::string& field, const std::string& expected) const {
         throw SettingsError(file_ + ": " + field + ": expected " + expected);
@@ -77,7 +77,6 @@
 
   private:
     std::string file_;
-    const toml::table& root_;
 };
 
 }  // namespace
@@ -100,7 +99,7 @@
         throw SettingsError(path + ": " + (line ? "line " + std::to_string(line) + ": " : "") +
                             "expected a readable TOML file (" + why + ")");
     }
-    Reader r(path, root);
+    Reader r(path);
     Settings s;
     s.member = r.text(root, "", "member");
     s.location = r.text(root, "", "location");
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -185,11 +185,8 @@
         double notBeforeS = -1e9;
     };
     std::unordered_map<std::string, JobNotes> jobNotes_;
-    struct Doubt {
-        double sinceS;
-        std::size_t placed;
-    };
-    std::unordered_map<std::string, Doubt> doubts_;  // foreign hosts on which a planned start does not happen
+    // Foreign hosts on which a planned start does not happen: since when.
+    std::unordered_map<std::string, double> doubts_;
 
     struct PeerNote {
         peers::Hint hint;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -51,7 +51,7 @@
     }
     // Its keeper does not start there what our plan expects it to: count on it no more for a while.
     if (auto it = doubts_.find(h.name); it != doubts_.end()) {
-        double age = now.steady - it->second.sinceS;
+        double age = now.steady - it->second;
         if (age > settings_.reportS / 6 && age < 4 * settings_.reportS) return false;
     }
     // Just registered: its keeper waits for the host to confirm the baton.
@@ -339,8 +339,8 @@
         if (wide ? !responsible(*start.job) : !kept_here(start.tasks.front().second)) {
             if (!wide) {
                 HostRecord* h = start.tasks.front().second;
-                auto [it, fresh] = doubts_.try_emplace(h->name, Doubt{now.steady, h->placed.size()});
-                if (!fresh && now.steady - it->second.sinceS > 4 * settings_.reportS) it->second.sinceS = now.steady;
+                auto [it, fresh] = doubts_.try_emplace(h->name, now.steady);
+                if (!fresh && now.steady - it->second > 4 * settings_.reportS) it->second = now.steady;
             }
             continue;
         }
@@ -358,12 +358,7 @@
     if (plan.unmet.empty()) return;
     std::set<const Job*> beyond = beyond_guarantee();
     std::map<std::string, Need> room;  // by machine: what is free, or becoming so
-    for (const auto& m : plan.machines) {
-        Need used;
-        for (const auto& h : m.holds)
-            if (h.from <= now.wall) used += h.need;
-        room[m.name] = m.total - used;
-    }
+    for (const auto& m : plan.machines) room[m.name] = placement::free_at(m, now.wall);
     std::set<std::pair<const Job*, std::uint32_t>> taken;
     for (const auto& u : plan.unmet) {
         const wire::JobSpec& s = *u.job->spec;
--- a/src/placement/lem.cpp
+++ b/src/placement/lem.cpp
@@ -18,8 +18,23 @@
     r.inHall.emplace_back(hall, 1);
 }
 
+// The task fits at `t` and, whatever begins later, for all of its length.
+bool fits_from(const Machine& m, const Need& need, double t, double length) {
+    if (!need.fits(free_at(m, t))) return false;
+    for (const Hold& h : m.holds)
+        if (h.from > t && h.from < t + length && !need.fits(free_at(m, h.from))) return false;
+    return true;
+}
+
 }  // namespace
 
+Need free_at(const Machine& m, double t) {
+    Need used;
+    for (const Hold& h : m.holds)
+        if (h.from <= t && t < h.until) used += h.need;
+    return m.total - used;
+}
+
 Planner::Planner(double now, std::vector<Machine> machines, Weights weights)
     : now_(now), machines_(std::move(machines)), weights_(weights) {
     for (const Machine& m : machines_) idle_ += !m.busy;
@@ -33,26 +48,14 @@
 
 double Planner::earliest(const Machine& m, const Need& need, double length) const {
     if (!need.fits(m.total)) return kNever;
-    auto room_at = [&](double t) {
-        Need used;
-        for (const Hold& h : m.holds)
-            if (h.from <= t && t < h.until) used += h.need;
-        return m.total - used;
-    };
-    auto fits_from = [&](double t) {
-        if (!need.fits(room_at(t))) return false;
-        for (const Hold& h : m.holds)
-            if (h.from > t && h.from < t + length && !need.fits(room_at(h.from))) return false;
-        return true;
-    };
-    if (fits_from(now_)) return now_;
+    if (fits_from(m, need, now_, length)) return now_;
     std::vector<double> ends;
     ends.reserve(m.holds.size());
     for (const Hold& h : m.holds)
         if (h.until > now_) ends.push_back(h.until);
     std::sort(ends.begin(), ends.end());
     for (double t : ends)
-        if (fits_from(t)) return t;
+        if (fits_from(m, need, t, length)) return t;
     return kNever;
 }
 
@@ -124,26 +127,14 @@
         for (std::size_t i = 0; i < machines_.size(); ++i)
             if (sizes[i]) machines_[i].holds.resize(machines_[i].holds.size() - sizes[i]);
     };
-    auto room = [&](const Machine& m) {
-        if (!r.need.fits(m.total)) return false;
-        auto fits = [&](double t) {
-            Need used;
-            for (const Hold& h : m.holds)
-                if (h.from <= t && t < h.until) used += h.need;
-            return r.need.fits(m.total - used);
-        };
-        if (!fits(at)) return false;
-        for (const Hold& h : m.holds)
-            if (h.from > at && h.from < at + r.expectS && !fits(h.from)) return false;
-        return true;
-    };
     bool full = saturated();
     std::vector<double> cached = cached_at(r);
     for (std::uint32_t n = 0; n < r.count; ++n) {
         std::size_t best = machines_.size();
         double bestScore = kNever;
         for (std::size_t i = 0; i < machines_.size(); ++i) {
-            if (!r.allowed[i] || !hall_ok(r, machines_[i].hall) || !room(machines_[i])) continue;
+            if (!r.allowed[i] || !hall_ok(r, machines_[i].hall) || !fits_from(machines_[i], r.need, at, r.expectS))
+                continue;
             double s = score(machines_[i], r, at, cached[i], full);
             if (s < bestScore) bestScore = s, best = i;
         }
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -44,6 +44,9 @@
     double handicapS = 0;     // added to the score: machines under suspicion
 };
 
+// What the machine's holds leave free at a moment.
+Need free_at(const Machine& m, double t);
+
 struct Request {
     Need need;
     std::string image;
