--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -22,8 +22,6 @@
 constexpr double kStoreTimeoutS = 1.0;       // "usually under 10 ms, occasionally a few hundred"
 constexpr double kUserTimeoutS = 1.8;        // users wait 2 s for a poll
 constexpr double kSocketsForUsers = 0.8;
-constexpr double kApartS = 1.0;  // without store and peers: then unhealthy
-constexpr double kMuteS = 4.0;   // live, but no read of the state succeeds: then unhealthy
 
 std::uint64_t random_id() {
     std::random_device d;
@@ -137,41 +135,27 @@
     spawn(clockwork());
 }
 
+model::Heard Service::heard() const {
+    double t = net::steady_now();
+    model::Heard h;
+    h.registered = core_.member_stamp() != 0;
+    h.storeAgeS = t - store_.last_ok();
+    h.hasPeers = !settings_.members.empty();
+    h.peerHeard = core_.peer_heard(now());
+    h.peerHasStore = core_.peer_has_store(now());
+    h.adriftS = t - adriftSince_;
+    h.readFailedS = readFailedSince_ > 0 ? t - readFailedSince_ : 0;
+    return h;
+}
+
 bool Service::healthy() const {
-    MemberState s = core_.member_state();
-    if (!core_.view_ready()) return false;
-    // Live by its lease, and yet no read of the state succeeds: it could answer no user.
-    if (s == MemberState::live) return readFailedSince_ == 0 || net::steady_now() - readFailedSince_ < kMuteS;
-    if (s != MemberState::adrift) return false;
-    // In an outage that everybody has, staying in the balancer spares its slow return; answers are 503 meanwhile. One
-    // that hears neither the store nor any other controller is more likely cut off itself: users are better served
-    // elsewhere.
-    double age = net::steady_now() - adriftSince_;
-    bool apart = !settings_.members.empty() && !core_.peer_heard(now());
-    return age < (apart ? kApartS : settings_.cancelS);
+    return model::healthy(core_.member_state(), core_.view_ready(), heard(), {settings_.cancelS, settings_.leaseS});
 }
 
 // ---------------------------------------------------------------- the state service
 
 void Service::judge_standing() {
-    double age = net::steady_now() - store_.last_ok();
-    bool silent = age > 1.5;
-    MemberState next;
-    if (!silent && core_.member_stamp()) {
-        next = MemberState::live;
-    } else if (core_.member_state() == MemberState::joining) {
-        next = MemberState::joining;
-    } else if (silent && core_.peer_has_store(now())) {
-        next = MemberState::alone;
-    } else if (silent && age > settings_.cancelS - settings_.leaseS * 1.01 - 1) {
-        // A withdrawal told elsewhere must end its tasks within cancel_s: a machine that we stop answering now ends
-        // them when its lease is over.
-        next = MemberState::alone;
-    } else if (silent) {
-        next = MemberState::adrift;
-    } else {
-        next = core_.member_state() == MemberState::live ? MemberState::adrift : core_.member_state();
-    }
+    MemberState next = model::judge(core_.member_state(), heard(), {settings_.cancelS, settings_.leaseS});
     if (next == MemberState::adrift && core_.member_state() != MemberState::adrift) adriftSince_ = net::steady_now();
     core_.set_member_state(next);
 }
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -7,6 +7,7 @@
 #include "cloud/client.hpp"
 #include "controller/core.hpp"
 #include "front/server.hpp"
+#include "model/standing.hpp"
 #include "peers/mesh.hpp"
 #include "store/client.hpp"
 #include "workers/channel.hpp"
@@ -45,6 +46,7 @@
     void apply(const store::FollowResult& r);
     void apply_own(const Txn& txn, std::uint64_t epoch);
     asio::awaitable<bool> caught_up(std::uint64_t epoch, double timeoutS);
+    model::Heard heard() const;
     void judge_standing();
 
     // rounds
--- /dev/null
+++ b/src/model/standing.cpp
@@ -0,0 +1,37 @@
+#include "model/standing.hpp"
+
+namespace wellstair::model {
+
+namespace {
+constexpr double kSilentS = 1.5;  // "usually under 10 ms, occasionally a few hundred"
+constexpr double kApartS = 1.0;   // without store and peers: then unhealthy
+constexpr double kMuteS = 4.0;    // live, but no read of the state succeeds: then unhealthy
+}  // namespace
+
+MemberState judge(MemberState now, const Heard& h, const StandingLimits& l) {
+    bool silent = h.storeAgeS > kSilentS;
+    if (!silent && h.registered) return MemberState::live;
+    if (now == MemberState::joining) return MemberState::joining;
+    if (!silent) return now == MemberState::live ? MemberState::adrift : now;
+    // The state service answers others: it is us.
+    if (h.peerHasStore) return MemberState::alone;
+    // It may be an outage that everybody has, or we may have lost the other controllers, too; that cannot be told apart.
+    // Our machines are answered, but no longer than a withdrawal told elsewhere allows: a machine that we stop answering
+    // now ends its tasks when its lease is over, which must be within cancel_s.
+    if (h.storeAgeS > l.cancelS - l.leaseS * 1.01 - 1) return MemberState::alone;
+    return MemberState::adrift;
+}
+
+bool healthy(MemberState now, bool viewReady, const Heard& h, const StandingLimits& l) {
+    if (!viewReady) return false;
+    // Live by its lease, and yet no read of the state succeeds: it could answer no user.
+    if (now == MemberState::live) return h.readFailedS < kMuteS;
+    if (now != MemberState::adrift) return false;
+    // In an outage that everybody has, staying in the balancer spares its slow return; answers are 503 meanwhile. One
+    // that hears neither the store nor any other controller is more likely cut off itself: users are better served
+    // elsewhere.
+    bool apart = h.hasPeers && !h.peerHeard;
+    return h.adriftS < (apart ? kApartS : l.cancelS);
+}
+
+}  // namespace wellstair::model
--- /dev/null
+++ b/src/model/standing.hpp
@@ -0,0 +1,25 @@
+// A controller's own standing, from what it hears: whether it acts for the controllers, and whether users should come.
+#pragma once
+
+#include "model/states.hpp"
+
+namespace wellstair::model {
+
+struct Heard {
+    bool registered = false;    // our member key stands, as far as we have seen
+    double storeAgeS = 0;       // since the state service last answered us
+    bool hasPeers = false;      // there are other controllers
+    bool peerHeard = false;     // one of them has spoken to us a moment ago
+    bool peerHasStore = false;  // and says that the state service answers it
+    double adriftS = 0;         // for how long we have been adrift
+    double readFailedS = 0;     // for how long no read of the state has succeeded although it was tried
+};
+
+struct StandingLimits {
+    double cancelS = 0, leaseS = 0;
+};
+
+MemberState judge(MemberState now, const Heard& heard, const StandingLimits& limits);
+bool healthy(MemberState now, bool viewReady, const Heard& heard, const StandingLimits& limits);
+
+}  // namespace wellstair::model
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -291,6 +291,11 @@
         draft.mark_return(arg, h ? h->hall : "a", static_cast<std::int64_t>(now().wall), true, "test");
         return commit(c, draft);
     }
+    if (verb == "role") {  // takes the cloud role
+        auto draft = core.new_draft();
+        draft.put(model::keys::kCloudRole, 0, {{"by", name}}, 0);
+        return commit(c, draft);
+    }
     if (verb == "team") {
         in >> arg;
         sync(c);
