--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -672,6 +672,9 @@
             Proof p = proof(*record, ref);
             if (p == Proof::none) continue;
             if (p == Proof::done && ref.job->state != JobState::active) p = Proof::gone;
+            // A gang completes together: one task done shows it of those, too, whose machines were lost before they
+            // could say so. Counted as open, they would wait for ever for the rest of a gang that is over.
+            if (ref.job->gang() && ref.job->done > 0 && ref.job->state == JobState::active) p = Proof::done;
             if (!draft.clear(*ref.job, ref.index, p == Proof::done ? StepState::done : StepState::open)) {
                 dirty_ = true;
                 return;
@@ -682,7 +685,8 @@
 
 void Core::finish_jobs(Draft& draft) {
     for (const auto& [order, job] : view_->queue()) {
-        bool done = job->state == JobState::active && job->done == job->spec->steps;
+        bool together = job->gang() && job->done > 0 && job->placed == 0;  // see clear_ended
+        bool done = job->state == JobState::active && (job->done == job->spec->steps || together);
         bool aborted = job->state == JobState::withdrawn && job->placed == 0;
         if ((!done && !aborted) || !responsible(*job)) continue;
         if (!draft.finish(*job, done ? JobState::done : JobState::aborted)) {
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -30,7 +30,8 @@
 
 // What plans look at, as ratios; see Core::make_plan.
 constexpr std::uint64_t kPromiseLooks = 4096;  // machines looked at for promises in one plan
-constexpr double kWaitedLeases = 5;            // a job that has waited for so many leases goes first
+constexpr double kWaitedLeases = 7;            // a job that has waited for so many leases goes first,
+constexpr double kWaitedEvery = 2;             // of each team one in so many leases
 
 bool allows(const wire::JobSpec& s, const std::string& build, const std::string& hall, bool loaner) {
     if (s.builds && std::find(s.builds->begin(), s.builds->end(), build) == s.builds->end()) return false;
@@ -174,13 +175,15 @@
 }
 
 // No order by rank, due time or size may keep a job waiting without end: of each team, the one that has waited longest
-// goes first when that has become many leases, and is promised the next room that is wide enough for it. One at a time,
-// so that under overload the others keep their order.
+// goes first when that has become many leases, and is promised the next room that is wide enough for it. One at a time
+// and not too often: under overload many have waited for long, and the others would lose their order for them.
 void Core::put_long_waiting_first(std::vector<Queued>& queue, Moment now) const {
     std::map<std::string, Queued*> oldest;
     for (Queued& q : queue) {
         const Job& job = *q.job;
         if (job.placed + job.done > 0 || now.wall - job.atS < kWaitedLeases * settings_.leaseS) continue;
+        auto last = waitedStarts_.find(job.spec->crew);
+        if (last != waitedStarts_.end() && now.steady - last->second < kWaitedEvery * settings_.leaseS) continue;
         Queued*& o = oldest[job.spec->crew];
         if (!o || job.atS < o->job->atS) o = &q;
     }
@@ -375,6 +378,7 @@
         }
         if (gang && whole.tasks.size() == s.steps) plan.starts.push_back(std::move(whole));
         teamRoom = {teamRoom.cores - started * s.cores, teamRoom.gpus - started * s.gpus, teamRoom.ramGb};
+        if (q.waited && started > 0 && act) waitedStarts_[s.crew] = now.steady;
         if (started < r.count) plan.unmet.push_back({&job, r.count - started, q.beyond, soonest});
         if (auto it = reservations_.find(job.id); it != reservations_.end()) {
             if (started == r.count)
