--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -205,7 +205,7 @@
     };
     std::map<std::string, Reservation> reservations_;
     std::map<std::string, double> waitedStarts_;  // by team: when a job that had waited for long was last placed
-    std::uint64_t lastOrder_ = 0;  // the newest job that was planned for
+    std::uint64_t lastOrder_ = 0;                 // the newest job that was planned for
 
     std::unordered_map<std::string, model::HostNotes> notes_;
     std::unordered_map<std::string, wire::Report> claims_;
--- a/src/model/standing.cpp
+++ b/src/model/standing.cpp
@@ -15,9 +15,9 @@
     if (!silent) return now == MemberState::live ? MemberState::adrift : now;
     // The state service answers others: it is us.
     if (h.peerHasStore) return MemberState::alone;
-    // It may be an outage that everybody has, or we may have lost the other controllers, too; that cannot be told apart.
-    // Our machines are answered, but no longer than a withdrawal told elsewhere allows: a machine that we stop answering
-    // now ends its tasks when its lease is over, which must be within cancel_s.
+    // It may be an outage that everybody has, or we may have lost the other controllers, too; that cannot be told
+    // apart. Our machines are answered, but no longer than a withdrawal told elsewhere allows: a machine that we stop
+    // answering now ends its tasks when its lease is over, which must be within cancel_s.
     if (h.storeAgeS > l.cancelS - l.leaseS * 1.01 - 1) return MemberState::alone;
     return MemberState::adrift;
 }
--- a/src/placement/lem.cpp
+++ b/src/placement/lem.cpp
@@ -245,7 +245,7 @@
     return times(free_from(machines_[i], at, r.expectS), r.need);
 }
 
-std::optional<std::vector<Slot>> Planner::gang_at(const Request& r, const std::vector<std::size_t>& among, double at) {
+std::optional<Planner::Fit> Planner::gang_at(const Request& r, const std::vector<std::size_t>& among, double at) {
     struct Choice {
         std::size_t machine;
         std::uint32_t fit;
@@ -268,19 +268,20 @@
     std::stable_sort(choices.begin(), choices.end(),
                      [](const Choice& a, const Choice& b) { return a.score < b.score; });
     Request left = r;
-    std::vector<Slot> out;
+    Fit out;
     for (const Choice& c : choices)
-        for (std::uint32_t n = 0; n < c.fit && out.size() < r.count && hall_ok(left, machines_[c.machine].hall); ++n) {
-            out.push_back({c.machine, at});
+        for (std::uint32_t n = 0; n < c.fit && out.slots.size() < r.count && hall_ok(left, machines_[c.machine].hall);
+             ++n) {
+            out.slots.push_back({c.machine, at});
+            out.score = c.score;  // of its last machine: it starts when all are ready
             count_hall(left, machines_[c.machine].hall);
         }
-    if (out.size() < r.count) return std::nullopt;
-    for (const Slot& s : out) hold(s.machine, at, r);
+    if (out.slots.size() < r.count) return std::nullopt;
     return out;
 }
 
 std::vector<Slot> Planner::place_gang(const Request& r, bool startOnly) {
-    // A gang that must stay together is tried zone by zone: the first machine's score must not choose for all.
+    // A gang that must stay together is tried zone by zone, and goes where the last of its machines is ready first.
     std::vector<std::vector<std::size_t>> groups;
     auto split = [&](std::vector<std::size_t> all) {
         groups.clear();
@@ -299,10 +300,16 @@
             groups[at - halls.begin()].push_back(i);
         }
     };
+    auto best = [&](double at) -> std::vector<Slot> {
+        std::optional<Fit> found;
+        for (const auto& group : groups)
+            if (auto fit = gang_at(r, group, at); fit && (!found || fit->score < found->score)) found = std::move(fit);
+        if (!found) return {};
+        for (const Slot& s : found->slots) hold(s.machine, at, r);
+        return found->slots;
+    };
     split(candidates(r, true));
-    for (const auto& group : groups)
-        if (auto slots = gang_at(r, group, now_)) return *slots;
-    if (startOnly) return {};
+    if (auto slots = best(now_); !slots.empty() || startOnly) return slots;
     split(candidates(r, false));
     std::vector<double> ends;
     for (const auto& group : groups)
@@ -314,8 +321,7 @@
     constexpr std::size_t kTries = 24;  // spread over the ends, so that a long queue does not cost a long search
     std::size_t stride = std::max<std::size_t>(1, ends.size() / kTries);
     for (std::size_t i = 0; i < ends.size(); i += stride)
-        for (const auto& group : groups)
-            if (auto slots = gang_at(r, group, ends[i])) return *slots;
+        if (auto slots = best(ends[i]); !slots.empty()) return slots;
     return {};
 }
 
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -101,7 +101,11 @@
     void hold(std::size_t machine, double start, const Request& r);
     std::uint32_t capacity(std::size_t machine, const Request& r, double at) const;
     std::vector<std::size_t> candidates(const Request& r, bool startOnly);
-    std::optional<std::vector<Slot>> gang_at(const Request& r, const std::vector<std::size_t>& among, double start);
+    struct Fit {
+        std::vector<Slot> slots;
+        double score = 0;
+    };
+    std::optional<Fit> gang_at(const Request& r, const std::vector<std::size_t>& among, double start);
 
     double now_;
     std::vector<Machine> machines_;
--- a/tests/mixed_troubles_test.cpp
+++ b/tests/mixed_troubles_test.cpp
@@ -1,7 +1,7 @@
 // Seeded mixes of the troubles that PROTOCOL and the operators name, on a virtual clock: controllers that crash and are
-// back in a moment, lose the store, their peers or the workers; transactions that apply late; machines that die, restart,
-// hear nobody; commands that execute late; copies of reports. The rules are checked at every step, and when the troubles
-// are over every accepted job ends and is known everywhere.
+// back in a moment, lose the store, their peers or the workers; transactions that apply late; machines that die,
+// restart, hear nobody; commands that execute late; copies of reports. The rules are checked at every step, and when
+// the troubles are over every accepted job ends and is known everywhere.
 #include <gtest/gtest.h>
 
 #include <deque>
@@ -85,8 +85,8 @@
             if (troubles && chance(0.05)) trouble();
             if (now_ > 5 && now_ < kTroublesUntil && chance(0.06)) submit(++next);
             if (troubles && chance(0.01)) withdraw();
-            while (workers_.size() < 6 || std::count_if(workers_.begin(), workers_.end(),
-                                                        [](const Worker& w) { return w.there; }) < 6)
+            while (workers_.size() < 6 ||
+                   std::count_if(workers_.begin(), workers_.end(), [](const Worker& w) { return w.there; }) < 6)
                 add_worker();
             for (Worker& w : workers_) expire(w);
             late();
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -157,4 +157,19 @@
     EXPECT_TRUE(choose_rentals(offers, {w}, {0, 0}, 20).empty());
 }
 
+// A gang starts when the last of its machines is ready: the zone where that is soonest is taken, not the first that has
+// room.
+TEST(Lem, AGangGoesToTheZoneWhereItsLastMachineIsReadyFirst) {
+    Site s(4);  // zone 0: machines 0 and 2, zone 1: machines 1 and 3
+    s.caches[0].ready("img", 1, 0);
+    s.caches[1].ready("img", 1, 0);
+    s.caches[3].ready("img", 1, 0);
+    Planner p(100, s.machines, {});
+    Request r = request(4, 2);
+    r.together = true;
+    auto slots = p.place_gang(r, false);
+    ASSERT_EQ(slots.size(), 2u);
+    for (const auto& slot : slots) EXPECT_EQ(s.machines[slot.machine].hall, 1u);
+}
+
 }  // namespace
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -1,8 +1,8 @@
 // What a controller makes of what it hears: its standing and its health.
-#include <gtest/gtest.h>
-
 #include "model/standing.hpp"
 
+#include <gtest/gtest.h>
+
 using namespace wellstair::model;
 
 namespace {
@@ -50,7 +50,8 @@
     EXPECT_TRUE(healthy(MemberState::adrift, true, h, kLimits));
 }
 
-// Its lease is renewed, but no read succeeds: every question would fail, and a job that nobody answers for is forgotten.
+// Its lease is renewed, but no read succeeds: every question would fail, and a job that nobody answers for is
+// forgotten.
 TEST(Standing, OneThatCanAnswerNothingDoesNotStayHealthy) {
     Heard h = heard(0.1, true, true);
     EXPECT_TRUE(healthy(MemberState::live, true, h, kLimits));
