--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -208,7 +208,7 @@
     std::uint64_t lastOrder_ = 0;                 // the newest job that was planned for
 
     std::unordered_map<std::string, model::HostNotes> notes_;
-    std::unordered_map<std::string, wire::Report> claims_;
+    std::map<std::string, wire::Report> claims_;
     struct Redirected {
         double atS = -1e9;
         std::uint64_t tenure = 0, tick = 0;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -631,6 +631,18 @@
     if (now.steady - returnsS_ < settings_.reportS / 4) return;
     returnsS_ = now.steady;
     auto at = static_cast<std::int64_t>(now.wall);
+    // What is lost has nothing to save: it is returned at once.
+    auto lostAt = static_cast<std::int64_t>(now.wall - settings_.leaseS);
+    // Since when a gang has surely noticed that a task's machine is gone.
+    double noticed = 1.6 * settings_.reportS + settings_.gangPeerS;
+    std::map<const model::HostRange*, std::pair<std::size_t, std::size_t>> silent;  // of how many
+    for (auto& [name, n] : notes_) {
+        HostRecord* h = view_->host(name);
+        if (!kept_here(h) || h->leaves()) continue;
+        auto& [quiet, all] = silent[h->range];
+        quiet += now.steady - n.lastReportS > noticed;
+        ++all;
+    }
     for (auto& [name, n] : notes_) {
         HostRecord* h = view_->host(name);
         if (!kept_here(h) || h->leaves()) continue;
@@ -641,8 +653,19 @@
         // It reports and hears nobody: no work can be sent there, and reports alone prove nothing of what it holds.
         bool deaf = (n.deaf() && now.steady - n.deafSinceS > 2 * settings_.leaseS) ||
                     (n.state == HostState::kept && now.steady - n.unconfirmedS > 3 * settings_.leaseS);
-        if (faulty || lost || deaf)
-            if (!draft.mark_return(name, h->hall, at, false, faulty ? "faulty" : lost ? "lost" : "deaf")) return;
+        // A machine that has been silent for so long has broken the gangs that had tasks there, and their next attempt
+        // waits for the proof that these are gone. The cloud's word comes sooner than the end of the lease. Where much
+        // of a range is silent, it is rather the network, or a controller without the store still answers these
+        // machines.
+        const auto& [quiet, all] = silent[h->range];
+        bool holdsUp = now.steady - n.lastReportS > noticed && 3 * quiet <= all &&
+                       std::any_of(h->placed.begin(), h->placed.end(),
+                                   [](const StepRef& ref) { return ref.job->gang() && ref.job->spec->steps > 1; });
+        if (faulty || lost || deaf || holdsUp) {
+            bool saves = faulty || deaf;
+            const char* why = faulty ? "faulty" : lost ? "lost" : deaf ? "deaf" : "silent, holds up a gang";
+            if (!draft.mark_return(name, h->hall, saves ? at : lostAt, false, why)) return;
+        }
     }
     if (view_->cloud_role() != settings_.member) return;
     std::vector<HostRecord*> forget;
