Small tasks are packed on machines in use; a broken gang frees its silent machine sooner

And gangs lost with dead machines waited 16 s for gang_peer_s to pass although their others had long reported their end.

--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -66,6 +66,7 @@
     placement::Weights w;
     w.w = tunables_.leaWeight > 0 ? tunables_.leaWeight : static_cast<double>(machines);
     w.gpuCareS = settings_.reportS / 3;
+    w.packCareS = settings_.reportS / 2;
     w.mode = tunables_.mode;
     return w;
 }
@@ -640,7 +641,7 @@
         HostRecord* h = view_->host(name);
         if (!kept_here(h) || h->leaves()) continue;
         auto& [quiet, all] = silent[h->range];
-        quiet += now.steady - n.lastReportS > noticed;
+        quiet += now.steady - n.lastReportS > 1.6 * settings_.reportS;
         ++all;
     }
     for (auto& [name, n] : notes_) {
--- a/src/placement/lem.cpp
+++ b/src/placement/lem.cpp
@@ -123,6 +123,8 @@
     double ready = start, fetchS = m.fetchGbPerS > 0 ? r.imageGb / m.fetchGbPerS : 0;
     ready = cachedAt < 0 ? start + fetchS : std::max(start, cachedAt);
     double care = m.handicapS + (r.need.gpus <= 0 && m.total.gpus > 0 ? weights_.gpuCareS : 0);
+    // Small tasks side by side on few machines leave whole ones to wide tasks.
+    if (!m.busy && weights_.packCareS > 0 && times(m.total, r.need) > 1) care += weights_.packCareS;
     if (!saturated) return ready + care;
     double penalty = 0;
     if (cachedAt < 0 && m.cacheGb > 0 && m.fetchGbPerS > 0 && m.cache)
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -70,8 +70,9 @@
 };
 
 struct Weights {
-    double w = 1;         // weight of the load term in LEA
-    double gpuCareS = 0;  // per machine: a task without GPUs on a machine that has them
+    double w = 1;          // weight of the load term in LEA
+    double gpuCareS = 0;   // per machine: a task without GPUs on a machine that has them
+    double packCareS = 0;  // an empty machine of which a task leaves room for more of its kind
     enum class Mode { mixed, eft, lea } mode = Mode::mixed;  // the last two for ablations
 };
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -172,4 +172,23 @@
     for (const auto& slot : slots) EXPECT_EQ(s.machines[slot.machine].hall, 1u);
 }
 
+// Small tasks fill up machines that are in use already, so that wide ones find whole machines; not at the price of a
+// fetch.
+TEST(Lem, SmallTasksArePackedWhereTheImageIs) {
+    for (auto [warmEmpty, machine] : {std::pair(false, 1u), std::pair(true, 0u)}) {
+        Site s(2);
+        s.run(1, 200, {2, 0, 2});
+        if (warmEmpty)
+            s.caches[0].ready("img", 1, 0);
+        else
+            for (auto& c : s.caches) c.ready("img", 1, 0);
+        Weights weights;
+        weights.packCareS = 2;
+        Planner p(100, s.machines, weights);
+        Request r = request(2);
+        r.need = {2, 0, 2};
+        EXPECT_EQ(p.place_batch(r, false)[0].machine, machine);
+    }
+}
+
 }  // namespace
