--- a/tests/mixed_troubles_test.cpp
+++ b/tests/mixed_troubles_test.cpp
@@ -48,24 +48,9 @@
 class Mix {
   public:
     explicit Mix(unsigned seed) : random_(seed) {
-        app::Settings s;
-        s.location = "a";
+        app::Settings s = test::site_settings();
         s.teams = {{"red", 16, 20, 0, 0}, {"blue", 8, 0, 0, 0}};
-        s.reportS = 3, s.leaseS = 20, s.gangWaitS = 30, s.gangPeerS = 8, s.cancelS = 45;
-        s.stateRps = 100, s.stateWriteRps = 50, s.valueKb = 8, s.txnOps = 16;
-        s.cloudRps = 5, s.listLagS = 3, s.cores = 1, s.ramMb = 100, s.maxSockets = 1000;
-        Json types = {{"builds",
-                       {{{"sku", "c8"},
-                         {"cores", 8},
-                         {"gpus", 0},
-                         {"ramGb", 32},
-                         {"cacheGb", 50},
-                         {"fetchGbPerS", 1},
-                         {"rate", 1},
-                         {"lowPrice", 0.3},
-                         {"startupS", 20},
-                         {"halls", {"a", "b"}}}}}};
-        raw({{{"set", "ws/types"}, {"data", types}}});
+        raw({{{"set", "ws/types"}, {"data", test::machine_types()}}});
         const std::vector<std::string> names = {"k-0", "k-1", "k-2"};
         for (const auto& n : names) {
             Node& node = nodes_.emplace_back();
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -31,16 +31,44 @@
     return "ok " + std::to_string(epoch);
 }
 
-World::World() {
-    settings_.location = "a";
-    settings_.teams = {{"red", 16, 16, 2, 4}, {"blue", 8, 0, 0, 0}};
-    settings_.reportS = 3, settings_.leaseS = 20, settings_.gangWaitS = 30, settings_.gangPeerS = 8;
-    settings_.cancelS = 45;
-    settings_.stateRps = 100, settings_.stateWriteRps = 50, settings_.valueKb = 8, settings_.txnOps = 16;
-    settings_.cloudRps = 5, settings_.listLagS = 3, settings_.cores = 1, settings_.ramMb = 100;
-    settings_.maxSockets = 1000;
+Json machine_types() {
+    return {{"builds",
+             {{{"sku", "c8"},
+               {"cores", 8},
+               {"gpus", 0},
+               {"ramGb", 32},
+               {"cacheGb", 50},
+               {"fetchGbPerS", 1},
+               {"rate", 1},
+               {"lowPrice", 0.3},
+               {"startupS", 20},
+               {"halls", {"a", "b"}}},
+              {{"sku", "g8"},
+               {"cores", 8},
+               {"gpus", 2},
+               {"ramGb", 32},
+               {"cacheGb", 50},
+               {"fetchGbPerS", 1},
+               {"rate", 9},
+               {"lowPrice", 3},
+               {"startupS", 20},
+               {"halls", {"a", "b"}}}}}};
 }
 
+app::Settings site_settings() {
+    app::Settings s;
+    s.location = "a";
+    s.teams = {{"red", 16, 16, 2, 4}, {"blue", 8, 0, 0, 0}};
+    s.reportS = 3, s.leaseS = 20, s.gangWaitS = 30, s.gangPeerS = 8;
+    s.cancelS = 45;
+    s.stateRps = 100, s.stateWriteRps = 50, s.valueKb = 8, s.txnOps = 16;
+    s.cloudRps = 5, s.listLagS = 3, s.cores = 1, s.ramMb = 100;
+    s.maxSockets = 1000;
+    return s;
+}
+
+World::World() : settings_(site_settings()) {}
+
 World::Controller& World::at(const std::string& name) {
     auto it = controllers_.find(name);
     if (it == controllers_.end()) throw std::runtime_error("no controller " + name);
@@ -160,28 +188,7 @@
             for (const auto& other : names)
                 if (other != n) c.settings.members.push_back({other, other, {}});
         }
-        Json types = {{"builds",
-                       {{{"sku", "c8"},
-                         {"cores", 8},
-                         {"gpus", 0},
-                         {"ramGb", 32},
-                         {"cacheGb", 50},
-                         {"fetchGbPerS", 1},
-                         {"rate", 1},
-                         {"lowPrice", 0.3},
-                         {"startupS", 20},
-                         {"halls", {"a", "b"}}},
-                        {{"sku", "g8"},
-                         {"cores", 8},
-                         {"gpus", 2},
-                         {"ramGb", 32},
-                         {"cacheGb", 50},
-                         {"fetchGbPerS", 1},
-                         {"rate", 9},
-                         {"lowPrice", 3},
-                         {"startupS", 20},
-                         {"halls", {"a", "b"}}}}}};
-        store_.commit({{"when", Json::array()}, {"apply", {{{"set", "ws/types"}, {"data", types}}}}});
+        store_.commit({{"when", Json::array()}, {"apply", {{{"set", "ws/types"}, {"data", machine_types()}}}}});
         return "";
     }
     if (verb == "wait") {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -28,6 +28,10 @@
     std::map<std::string, std::pair<wire::Json, std::uint64_t>> keys_;
 };
 
+// What the test worlds have in common: the settings but for names and zones, and the types of machines.
+app::Settings site_settings();
+wire::Json machine_types();
+
 // Runs one trace: a command per line, the expected answer on the lines after it that start with '>'.
 class World {
   public:
