--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -191,4 +191,18 @@
     }
 }
 
+// A thousand full machines and a long queue: starts pass over whole kinds of machines instead of looking at each, and
+// one look serves all that follow. Counted in machines looked at, not in time.
+TEST(Lem, ALongQueueBehindFullMachinesLooksAtNone) {
+    Site s(1000);
+    for (int i = 0; i < 1000; ++i) s.run(i, 200);
+    s.machines[7].holds.clear();
+    Planner p(100, s.machines, {});
+    EXPECT_EQ(p.place_batch(request(1), true).size(), 1u);
+    auto first = p.looked();
+    EXPECT_LE(first, 1100u);
+    for (int job = 0; job < 500; ++job) EXPECT_TRUE(p.place_batch(request(1), true).empty());
+    EXPECT_LE(p.looked() - first, 1100u);
+}
+
 }  // namespace
