One name for wide gangs, silence and new ranges; a field and an operator that nobody used are gone

Found on re-reading the whole change; behaviour is the same. A range was made in two places; 'a gang of more than one task' stood in six places; a reservation counted what was always one.

--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -328,7 +328,7 @@
 
 bool Core::stopping(const Job& job, const Step& step) const {
     if (job.state == JobState::withdrawn) return true;
-    if (!job.gang() || job.spec->steps == 1) return false;
+    if (!job.wide_gang()) return false;
     return gang_state(job) == GangState::broken || (job.stopAttempt && job.stopAttempt == step.attempt);
 }
 
@@ -384,8 +384,7 @@
             bool first = note.attempt != s.attempt;
             if (first) note = {s.attempt, now.steady};
             bool useless = ref.job->state == JobState::withdrawn || ref.job->spec->snapshotS <= 0;
-            bool orderly = !useless &&
-                           (!ref.job->gang() || ref.job->spec->steps == 1 || gang_state(*ref.job) != GangState::broken);
+            bool orderly = !useless && (!ref.job->wide_gang() || gang_state(*ref.job) != GangState::broken);
             double windDown = orderly ? ref.job->spec->flushS + settings_.reportS : 0;
             if (seen->second.phase == wire::TaskPhase::flushing && orderly) continue;
             halts.push_back({wire::Verb::halt, key.first, key.second, s.attempt, windDown});
@@ -429,7 +428,7 @@
 }
 
 // All tasks placed there are there and may go on, and nothing else is there: nothing to do until something changes.
-bool Core::settled(const HostRecord& h, const HostNotes& n) {
+bool Core::settled(const HostRecord& h, const HostNotes& n) const {
     if (n.tasks.size() != h.placed.size()) return false;
     for (const StepRef& ref : h.placed) {
         Step s = ref.job->step(ref.index, view_->chunk_size());
@@ -540,8 +539,7 @@
             ++it;
             continue;
         }
-        double silent = now.steady - n.lastReportS;
-        if (n.state == HostState::fenced && silent > 1.6 * settings_.reportS) {
+        if (n.state == HostState::fenced && silent(n, now)) {
             n.state.become(HostState::silent);
             spdlog::info("host {} is silent", name);
             changed = true;
@@ -549,7 +547,7 @@
         }
         // The lease counts from when the last answered report was sent, which is before it came in here. Only our
         // own baton can renew it (the host has confirmed it), and nobody else may use that.
-        if (n.state == HostState::silent && silent > settings_.leaseS * kDrift + kTimerSlackS) {
+        if (n.state == HostState::silent && now.steady - n.lastReportS > settings_.leaseS * kDrift + kTimerSlackS) {
             n.state.become(HostState::expired);
             spdlog::info("host {} has expired with {} steps", name, h ? h->placed.size() : 0);
             changed = true;
@@ -661,7 +659,7 @@
         for (const StepRef& ref : placed) {
             // Going away, by the cloud's notice or by our own mark: stop what can save.
             if (n && (n->reclaimS || record->leaves()) && !record->gone()) {
-                if (ref.job->gang() && ref.job->spec->steps > 1) {
+                if (ref.job->wide_gang()) {
                     Step s = ref.job->step(ref.index, view_->chunk_size());
                     if (ref.job->stopAttempt != s.attempt && ref.job->state == JobState::active)
                         draft.stop_attempt(*ref.job, s.attempt);
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -125,7 +125,12 @@
     // Every host that may have something to do is in `due_`; a round looks at these alone.
     void mark(const model::HostRecord& h) { due_.insert(h.name); }
     void mark_job(const model::Job& job);
-    bool settled(const model::HostRecord& h, const model::HostNotes& n);
+    bool settled(const model::HostRecord& h, const model::HostNotes& n) const;
+    // For so long a host that is well has never been quiet.
+    bool silent(const model::HostNotes& n, Moment now) const {
+        return now.steady - n.lastReportS > kSilentReports * settings_.reportS;
+    }
+    static constexpr double kSilentReports = 1.6;  // intervals: they vary by a quarter, and one may be late
     void claim_hosts(Draft& draft, Moment now);
     void hand_over(Draft& draft, Moment now);
     bool orphan(const model::HostRecord& h) const;
@@ -200,8 +205,8 @@
     std::vector<std::string> halls_;
     // Room that is being made by stopping tasks, until when it is kept for its job.
     struct Reservation {
-        std::vector<std::pair<std::string, std::uint32_t>> places;  // host, tasks
-        double untilS;                                              // time of day
+        std::vector<std::string> hosts;  // by task
+        double untilS;                   // time of day
     };
     std::map<std::string, Reservation> reservations_;
     std::map<std::string, double> waitedStarts_;  // by team: when a job that had waited for long was last placed
--- a/src/controller/draft.cpp
+++ b/src/controller/draft.cpp
@@ -122,8 +122,8 @@
     return true;
 }
 
-void Draft::rest_on(const model::HostRecord& host) {
-    when(host.range->key, host.range->stamp);
+void Draft::rest_on(const model::HostRange& range) {
+    when(range.key, range.stamp);
 }
 
 bool Draft::submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS) {
@@ -192,7 +192,7 @@
         s.baton = host->baton;
         s.atS = atS;
         s.payer = member_;
-        rest_on(*host);
+        rest_on(*host->range);
     }
     bytes_ += kStepBytes * tasks.size();
     about_.push_back("place " + job.id);
@@ -203,7 +203,7 @@
     std::uint32_t c = view_.chunk_of(index);
     if (!room(!chunks_.count({&job, c}), 4, kStepBytes * (job.chunks[c].placed + 1) + 100)) return false;
     Step& s = edit(job, c)[index % view_.chunk_size()];
-    rest_on(*s.host);
+    rest_on(*s.host->range);
     about_.push_back("clear " + wire::step_name(job.id, index) + " from " + s.host->name);
     s.state.become(to);
     s.host = nullptr;
@@ -244,10 +244,9 @@
     if (it == ranges_.end()) {
         if (!room(1, 1, kHostBytes * (range.hosts.size() + more) + 200)) return nullptr;
         it = ranges_.try_emplace(range.key).first;
-        it->second.stamp = range.stamp;
-        for (const model::HostRecord* h : range.hosts) it->second.hosts[h->name] = *h;
+        for (const model::HostRecord* h : range.hosts) it->second[h->name] = *h;
         bytes_ += kHostBytes * range.hosts.size() + 200;
-        when(range.key, range.stamp);
+        rest_on(range);
     } else if (!room(0, 0, kHostBytes * more)) {
         return nullptr;
     }
@@ -258,7 +257,7 @@
 bool Draft::register_host(model::HostRange& range, const model::HostEntry& next, std::uint64_t atLeast) {
     RangeEdit* edit = edit_range(range, 1);
     if (!edit) return false;
-    model::HostEntry& h = edit->hosts[next.name];
+    model::HostEntry& h = (*edit)[next.name];
     std::uint64_t before = std::max(h.baton, atLeast);
     h = next;
     // Above every earlier one: those were at most one above a revision that this view has seen, or are known here.
@@ -289,7 +288,7 @@
     model::HostRange& range = known && known->range ? *known->range : view_.range_of(host, hall);
     RangeEdit* edit = edit_range(range, 1);
     if (!edit) return false;
-    model::HostEntry& h = edit->hosts[host];
+    model::HostEntry& h = (*edit)[host];
     h.name = host;
     h.leaving = gone ? model::Leaving::gone : std::max(h.leaving, model::Leaving::marked);
     h.leavingAtS = atS;
@@ -300,7 +299,7 @@
 bool Draft::forget_host(model::HostRecord& h) {
     RangeEdit* edit = edit_range(*h.range, 0);
     if (!edit) return false;
-    edit->hosts.erase(h.name);
+    edit->erase(h.name);
     about_.push_back("forget " + h.name);
     return true;
 }
@@ -328,7 +327,7 @@
         add(keys::chunk(key.first->id, key.second), model::View::encode_chunk(steps));
     for (const auto& [key, edit] : ranges_) {
         std::vector<model::HostEntry> hosts;
-        for (const auto& [name, h] : edit.hosts) hosts.push_back(h);
+        for (const auto& [name, h] : edit) hosts.push_back(h);
         if (hosts.empty())
             apply.push_back({{"remove", key}});
         else
--- a/src/controller/draft.hpp
+++ b/src/controller/draft.hpp
@@ -56,15 +56,12 @@
     std::vector<model::Step>& edit(model::Job& job, std::uint32_t chunk);
     void when(const std::string& path, std::uint64_t stamp) { when_[path] = stamp; }
     void set(const std::string& path, wire::Json data, std::uint64_t hold = 0);
-    struct RangeEdit {
-        std::uint64_t stamp = 0;
-        std::map<std::string, model::HostEntry> hosts;
-    };
+    using RangeEdit = std::map<std::string, model::HostEntry>;
     RangeEdit* edit_range(model::HostRange& range, std::size_t more);
     bool register_host(model::HostRange& range, const model::HostEntry& next, std::uint64_t atLeast);
     // Takes `more` of this controller's part of the team's limit; nothing of it is left: from the others' unused parts.
     bool charge(const std::string& crew, model::Use more);
-    void rest_on(const model::HostRecord& host);
+    void rest_on(const model::HostRange& range);
 
     model::View& view_;
     const app::Settings& settings_;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -330,7 +330,7 @@
             planner.place_batch(probe(lane.last, static_cast<std::uint32_t>(std::min(soon, most))), true);
         }
         if (auto it = jobNotes_.find(job.id); it != jobNotes_.end() && now.steady < it->second.notBeforeS) continue;
-        bool gang = job.gang() && s.steps > 1;
+        bool gang = job.wide_gang();
         if (gang && gang_state(job) != model::GangState::open) continue;
         if (double mine = turn(job); act && mine > now.wall) {
             nextTurnS_ = std::min(nextTurnS_, mine);
@@ -385,9 +385,9 @@
             if (started == r.count)
                 reservations_.erase(it);
             else
-                for (const auto& [host, n] : it->second.places)
+                for (const std::string& host : it->second.hosts)
                     if (auto m = at.find(host); m != at.end())
-                        planner.reserve(m->second, n * need_of(s), it->second.untilS);
+                        planner.reserve(m->second, need_of(s), it->second.untilS);
         }
     }
     plan.machines = planner.machines();
@@ -444,7 +444,7 @@
     int jobs = 0;
     for (const auto& u : plan.unmet) {
         const wire::JobSpec& s = *u.job->spec;
-        bool gang = u.job->gang() && s.steps > 1;
+        bool gang = u.job->wide_gang();
         if (u.soonest - now.wall < settings_.reportS || reservations_.count(u.job->id)) continue;
         if (++jobs > kJobs) break;
         Need need = need_of(s);
@@ -459,7 +459,7 @@
                 bool lower = v.rank > s.rank;
                 bool borrowed = !u.beyond && v.crew != s.crew && beyond.count(ref.job);
                 if (!lower && !borrowed) continue;
-                if (ref.job == u.job || (ref.job->gang() && v.steps > 1) || taken.count({ref.job, ref.index})) continue;
+                if (ref.job == u.job || ref.job->wide_gang() || taken.count({ref.job, ref.index})) continue;
                 double ran = now.wall - ref.job->step(ref.index, view_->chunk_size()).atS;
                 double lost = v.snapshotS > 0 ? v.flushS : ran;
                 double left = v.expectS - ran;
@@ -512,7 +512,7 @@
         Reservation kept{{}, now.wall};
         for (const Place& p : chosen) {
             HostRecord* h = plan.records[p.machine];
-            kept.places.emplace_back(h->name, 1);
+            kept.hosts.push_back(h->name);
             for (const StepRef& v : p.victims) {
                 taken.insert({v.job, v.index});
                 kept.untilS = std::max(kept.untilS, now.wall + v.job->spec->flushS + 2 * settings_.reportS);
@@ -635,13 +635,13 @@
     // What is lost has nothing to save: it is returned at once.
     auto lostAt = static_cast<std::int64_t>(now.wall - settings_.leaseS);
     // Since when a gang has surely noticed that a task's machine is gone.
-    double noticed = 1.6 * settings_.reportS + settings_.gangPeerS;
-    std::map<const model::HostRange*, std::pair<std::size_t, std::size_t>> silent;  // of how many
+    double noticed = kSilentReports * settings_.reportS + settings_.gangPeerS;
+    std::map<const model::HostRange*, std::pair<std::size_t, std::size_t>> quietOf;  // of how many
     for (auto& [name, n] : notes_) {
         HostRecord* h = view_->host(name);
         if (!kept_here(h) || h->leaves()) continue;
-        auto& [quiet, all] = silent[h->range];
-        quiet += now.steady - n.lastReportS > 1.6 * settings_.reportS;
+        auto& [quiet, all] = quietOf[h->range];
+        quiet += silent(n, now);
         ++all;
     }
     for (auto& [name, n] : notes_) {
@@ -658,10 +658,10 @@
         // waits for the proof that these are gone. The cloud's word comes sooner than the end of the lease. Where much
         // of a range is silent, it is rather the network, or a controller without the store still answers these
         // machines.
-        const auto& [quiet, all] = silent[h->range];
-        bool holdsUp = now.steady - n.lastReportS > noticed && 3 * quiet <= all &&
-                       std::any_of(h->placed.begin(), h->placed.end(),
-                                   [](const StepRef& ref) { return ref.job->gang() && ref.job->spec->steps > 1; });
+        const auto& [quiet, all] = quietOf[h->range];
+        bool holdsUp =
+            now.steady - n.lastReportS > noticed && 3 * quiet <= all &&
+            std::any_of(h->placed.begin(), h->placed.end(), [](const StepRef& ref) { return ref.job->wide_gang(); });
         if (faulty || lost || deaf || holdsUp) {
             bool saves = faulty || deaf;
             const char* why = faulty ? "faulty" : lost ? "lost" : deaf ? "deaf" : "silent, holds up a gang";
--- a/src/model/view.cpp
+++ b/src/model/view.cpp
@@ -106,13 +106,18 @@
 }
 
 HostRange& View::range_of(const std::string& host, const std::string& hall) {
-    std::string key = range_key(host, hall, rangeWidth_);
+    return range_entry(range_key(host, hall, rangeWidth_));
+}
+
+// The hall and the number are parts of the key.
+HostRange& View::range_entry(const std::string& key) {
     auto& slot = ranges_[key];
     if (!slot) {
+        auto first = key.find('/', 3) + 1, last = key.rfind('/');
         slot = std::make_unique<HostRange>();
         slot->key = key;
-        slot->hall = hall;
-        slot->number = static_cast<std::uint32_t>(std::stoul(key.substr(key.rfind('/') + 1)));
+        slot->hall = key.substr(first, last - first);
+        std::from_chars(key.data() + last + 1, key.data() + key.size(), slot->number);
     }
     return *slot;
 }
@@ -124,16 +129,8 @@
 
 void View::apply_range(const std::string& key, const std::string& rest, const Json* data, std::uint64_t stamp,
                        double wallS) {
-    auto slash = rest.rfind('/');
-    if (slash == std::string::npos) return;
-    auto& slot = ranges_[key];
-    if (!slot) {
-        slot = std::make_unique<HostRange>();
-        slot->key = key;
-        slot->hall = rest.substr(0, slash);
-        std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), slot->number);
-    }
-    HostRange& range = *slot;
+    if (rest.find('/') == std::string::npos) return;
+    HostRange& range = range_entry(key);
     if (stamp <= range.stamp) return;
     range.stamp = data ? stamp : 0;
     std::vector<HostRecord*> before = std::move(range.hosts);
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -69,6 +69,8 @@
     bool known() const { return spec && activeStamp; }
     std::uint32_t open() const { return spec->steps - done - placed; }
     bool gang() const { return spec->shape == wire::Shape::gang; }
+    // Tasks that run all together or not at all; a gang of one is like a batch of one.
+    bool wide_gang() const { return gang() && spec->steps > 1; }
     Step step(std::uint32_t index, std::uint32_t chunkSize) const;
 };
 
@@ -210,6 +212,7 @@
     void change_host(HostRecord& host, const HostEntry& next, HostRange& range, double wallS);
     void charge(const Job& job, const Step& step, int by);
     HostRecord& host_entry(const std::string& name);
+    HostRange& range_entry(const std::string& key);
     void drop_host_if_unused(const std::string& name);
 
     std::uint32_t chunkSize_, rangeWidth_;
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -28,9 +28,6 @@
 inline Need operator+(Need a, const Need& b) {
     return a += b;
 }
-inline Need operator*(double n, const Need& a) {
-    return {n * a.cores, n * a.gpus, n * a.ramGb};
-}
 // How many times `need` fits into `room`.
 std::uint32_t times(const Need& room, const Need& need);
 
