--- /dev/null
+++ b/src/controller/ordering.cpp
@@ -0,0 +1,123 @@
+// The order in which the queue asks for room: by rank and guarantee, and under overload by what can still be in time.
+#include <algorithm>
+
+#include "controller/core.hpp"
+
+namespace wellstair::controller {
+
+using model::Job;
+using model::JobState;
+using model::Step;
+using model::StepState;
+
+namespace {
+
+constexpr double kWaitedLeases = 7;  // a job that has waited for so many leases goes first,
+constexpr double kWaitedEvery = 2;   // of each team one in so many leases
+
+}  // namespace
+
+// A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs.
+std::set<const Job*> Core::beyond_guarantee() const {
+    std::set<const Job*> out;
+    std::map<std::string, std::pair<double, double>> used;
+    for (const auto& [order, job] : view_->queue()) {
+        if (job->state != JobState::active || job->done == job->spec->steps) continue;
+        const wire::JobSpec& s = *job->spec;
+        auto& [cores, gpus] = used[s.crew];
+        double left = s.steps - job->done;
+        cores += s.cores * left;
+        gpus += s.gpus * left;
+        const app::Team* t = settings_.team(s.crew);
+        if (!t || cores > t->cpus + 1e-9 || gpus > t->gpus + 1e-9) out.insert(job);
+    }
+    return out;
+}
+
+std::vector<Core::Queued> Core::ordered_queue(Moment now) const {
+    std::vector<Queued> out;
+    auto beyond = beyond_guarantee();
+    for (const auto& [order, job] : view_->queue())
+        if (job->state == JobState::active && job->open() > 0)
+            out.push_back({job, static_cast<int>(job->spec->rank), beyond.count(job) > 0, false});
+    std::stable_sort(out.begin(), out.end(), [](const Queued& a, const Queued& b) {
+        return std::pair(a.rank, a.beyond) < std::pair(b.rank, b.beyond);
+    });
+    order_overloaded(out, now);
+    put_long_waiting_first(out, now);
+    return out;
+}
+
+// No order by rank, due time or size may keep a job waiting without end: of each team, the one that has waited longest
+// goes first when that has become many leases, and is promised the next room that is wide enough for it. One at a time
+// and not too often: under overload many have waited for long, and the others would lose their order for them.
+void Core::put_long_waiting_first(std::vector<Queued>& queue, Moment now) const {
+    std::map<std::string, Queued*> oldest;
+    for (Queued& q : queue) {
+        const Job& job = *q.job;
+        if (job.placed + job.done > 0 || now.wall - job.atS < kWaitedLeases * settings_.leaseS) continue;
+        auto last = waitedStarts_.find(job.spec->crew);
+        if (last != waitedStarts_.end() && now.steady - last->second < kWaitedEvery * settings_.leaseS) continue;
+        Queued*& o = oldest[job.spec->crew];
+        if (!o || job.atS < o->job->atS) o = &q;
+    }
+    if (oldest.empty()) return;
+    for (auto& [crew, q] : oldest) q->waited = true;
+    std::stable_partition(queue.begin(), queue.end(), [](const Queued& q) { return q.waited; });
+}
+
+// By when users want such a job to be over, in seconds from its submission, dearest first.
+std::vector<double> Core::due_times(const wire::JobSpec& spec, bool beyond) const {
+    std::vector<double> out;
+    for (const auto& o : settings_.objectives) {
+        // What is to start in time has to be over one run time later.
+        if (o.kind == "guarantee" && !beyond && o.withinS > 0) out.push_back(o.withinS + spec.expectS);
+        if (o.lane != spec.lane) continue;
+        if (o.kind == "deadline" && spec.dueS) out.push_back(*spec.dueS * (o.times > 0 ? o.times : 1));
+        if (o.kind == "finished" && o.withinS > 0) out.push_back(o.withinS);
+        if (o.kind == "wait" && o.withinS > 0) out.push_back(o.withinS + spec.expectS);
+    }
+    if (out.empty() && spec.dueS) out.push_back(*spec.dueS);
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+// Where a team asks for more than its limit, submission order would make all of its jobs late one after the other.
+// Among its jobs of one rank the order then follows what can still be in time. Outside of that, and for all others,
+// submission order stays.
+void Core::order_overloaded(std::vector<Queued>& queue, Moment now) const {
+    std::map<std::pair<std::string, int>, std::vector<std::size_t>> groups;
+    for (std::size_t i = 0; i < queue.size(); ++i)
+        if (!due_times(*queue[i].job->spec, queue[i].beyond).empty())
+            groups[{queue[i].job->spec->crew, queue[i].rank}].push_back(i);
+    for (const auto& [key, places] : groups) {
+        const app::Team* team = settings_.team(key.first);
+        if (!team || places.size() < 2) continue;
+        double wanted = 0;
+        bool byGpu = team->gpusMax > 0 && queue[places[0]].job->spec->gpus > 0;
+        double limit = byGpu ? team->gpusMax : team->cpusMax;
+        auto size = [&](const wire::JobSpec& s) { return byGpu ? s.gpus : s.cores; };
+        std::vector<placement::DueJob> jobs;
+        for (std::size_t i : places) {
+            const Job& job = *queue[i].job;
+            const wire::JobSpec& s = *job.spec;
+            double remaining = job.open() * s.expectS;
+            for (const auto& chunk : job.chunks)
+                if (chunk.placed)
+                    for (const Step& step : chunk.steps)
+                        if (step.state == StepState::placed)
+                            remaining += std::max(s.expectS / 5, s.expectS - (now.wall - step.atS));
+            wanted += size(s) * (s.steps - job.done);
+            placement::DueJob d{remaining * size(s), s.expectS, due_times(s, queue[i].beyond)};
+            for (double& due : d.due) due -= now.wall - job.atS;
+            jobs.push_back(std::move(d));
+        }
+        if (limit <= 0 || wanted <= limit) continue;
+        auto order = placement::order_by_due(jobs, limit);
+        std::vector<Queued> sorted;
+        for (std::size_t k : order) sorted.push_back(queue[places[k]]);
+        for (std::size_t k = 0; k < places.size(); ++k) queue[places[k]] = sorted[k];
+    }
+}
+
+}  // namespace wellstair::controller
