A transaction counts the team limits that it deals anew: none is too large any more

Of each team only the first job of a transaction was counted with the key that deals the limit anew; with ten teams a later job dealt it, uncounted. Such a transaction was proposed again unchanged, and its controller placed nothing meanwhile.

A test fails without the count. The tests' settings files no longer share a name (they failed when run side by side).

--- a/src/controller/draft.cpp
+++ b/src/controller/draft.cpp
@@ -170,8 +170,9 @@
     int fresh = 0;
     for (std::uint32_t c : chunks) fresh += !chunks_.count({&job, c});
     if (charges_.empty()) ++fresh;
-    // The team's parts may have to be dealt anew.
-    if (!charges_.count(job.spec->crew)) ++fresh;
+    // The team's parts may have to be dealt anew, also by a later job of a team that has had room in its part so far:
+    // counted for the team's first job only, the transactions of many teams came out too large, and none was applied.
+    if (auto c = charges_.find(job.spec->crew); c == charges_.end() || !c->second.moved) ++fresh;
     // Tasks bound to one another by zone are checked against the whole job: its chunks must not change apart.
     bool bound = (job.spec->together || job.spec->scatter) && job.chunks.size() > 1;
     if (bound) ++fresh;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -134,4 +134,42 @@
     for (const auto& op : txn.body["apply"]) EXPECT_TRUE(paths.insert(op["set"]).second) << op["set"];
 }
 
+// Many teams in one transaction, each of which deals its parts of the limit anew with its second job: the keys that
+// this writes count, too. Left out, the state service refused such a transaction as too large, again and again.
+TEST(Scale, DealingTeamLimitsAnewFitsTheTransaction) {
+    app::Settings settings;
+    settings.member = "a", settings.location = "a";
+    settings.members = {{"b", "a", {}}};
+    settings.reportS = 5, settings.leaseS = 29, settings.cancelS = 54;
+    settings.valueKb = 8, settings.txnOps = 16;
+    const int teams = 10;
+    for (int i = 0; i < teams; ++i) settings.teams.push_back({"team-" + std::to_string(i), 0, 100, 0, 0});
+    controller::Core core(settings, {}, 1);
+    std::uint64_t epoch = 0;
+    auto apply = [&](const std::string& path, const wire::Json& data) {
+        core.view().apply(path, &data, ++epoch, 0);
+        core.view().advance(epoch);
+    };
+    model::HostEntry host;
+    host.name = "n-1", host.keeper = "a", host.incarnation = 1, host.baton = 1, host.build = "big";
+    apply(core.view().range_of("n-1", "a").key, model::View::encode_range({host}));
+    wire::JobSpec spec;
+    spec.lane = "work", spec.bundle = "img", spec.steps = 1, spec.cores = 10, spec.expectS = 10;
+    for (int i = 0; i < 2 * teams; ++i) {
+        spec.ref = "j-" + std::to_string(i), spec.crew = "team-" + std::to_string(i % teams);
+        apply("ws/jobs/" + spec.ref, {{"s", to_json(spec)}, {"at", 0}});
+        apply("ws/active/" + spec.ref, {{"o", "a"}});
+    }
+    // Room for one job in the part of each team.
+    for (int i = 0; i < teams; ++i)
+        apply("ws/teams/team-" + std::to_string(i),
+              {{"a", wire::Json::array({10000, 0})}, {"b", wire::Json::array({0, 0})}});
+    auto draft = core.new_draft();
+    int placed = 0;
+    for (int i = 0; i < 2 * teams; ++i)
+        placed += draft.place(*core.view().job("j-" + std::to_string(i)), {{0, core.view().host("n-1")}}, 1, 0);
+    EXPECT_GT(placed, teams);
+    EXPECT_LE(draft.build().body["apply"].size(), static_cast<std::size_t>(settings.txnOps));
+}
+
 }  // namespace
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -60,7 +60,9 @@
         EXPECT_NE(at, std::string::npos) << from;
         text.replace(at, from.size(), to);
     }
-    std::string path = testing::TempDir() + "wellstair_settings.toml";
+    // A file of its own for each test: CTest may run them side by side.
+    std::string path =
+        testing::TempDir() + "wellstair_" + testing::UnitTest::GetInstance()->current_test_info()->name() + ".toml";
     std::ofstream(path) << text;
     std::string result = "ok";
     try {
