When machines run out, the order follows what can still start in time

The overload order saw team limits only. It now sees the room that gets free on machines, too, as a curve over the estimates, rank by rank and guarantee first; the wide job that would make the small ones late steps back. Jobs that have waited for five leases go first with a quarter of the room, instead of one per team every two leases.

--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -18,6 +18,7 @@
 #include "placement/lem.hpp"
 #include "placement/overload.hpp"
 #include "placement/rental.hpp"
+#include "placement/room.hpp"
 
 namespace wellstair::controller {
 
@@ -151,11 +152,15 @@
         model::Job* job;
         int rank;
         bool beyond;
-        bool waited;  // has waited for so long that it goes first
+        bool waited = false;  // has waited for so long that it goes first
+        double share = 0;     // of all machines that it may use: what its open tasks take
     };
-    std::vector<Queued> ordered_queue(Moment now) const;
-    void order_overloaded(std::vector<Queued>& queue, Moment now) const;
+    std::vector<Queued> ordered_queue(const std::vector<placement::Machine>& machines, Moment now) const;
+    void order_for_machines(std::vector<Queued>& queue, const std::vector<placement::Machine>& machines,
+                            Moment now) const;
+    void order_within_limits(std::vector<Queued>& queue, Moment now) const;
     void put_long_waiting_first(std::vector<Queued>& queue, Moment now) const;
+    void note_waited_start(const Queued& q, Moment now);
     std::vector<double> due_times(const wire::JobSpec& spec, bool beyond) const;
     struct Plan {
         struct Start {
@@ -209,8 +214,8 @@
         double untilS;                   // time of day
     };
     std::map<std::string, Reservation> reservations_;
-    std::map<std::string, double> waitedStarts_;  // by team: when a job that had waited for long was last placed
-    std::uint64_t lastOrder_ = 0;                 // the newest job that was planned for
+    double waitedNextS_ = -1e9;    // from when on the next job that has waited for long goes first
+    std::uint64_t lastOrder_ = 0;  // the newest job that was planned for
 
     std::unordered_map<std::string, model::HostNotes> notes_;
     std::map<std::string, wire::Report> claims_;
--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr double kWaitedLeases = 7;  // a job that has waited for so many leases goes first,
-constexpr double kWaitedEvery = 2;   // of each team one in so many leases
+constexpr double kWaitedLeases = 5;   // a job that has waited for so many leases goes first,
+constexpr double kWaitedPart = 0.25;  // with such jobs taking this part of the room that gets free, if they need it
 
 }  // namespace
 
@@ -34,30 +34,30 @@
     return out;
 }
 
-std::vector<Core::Queued> Core::ordered_queue(Moment now) const {
+std::vector<Core::Queued> Core::ordered_queue(const std::vector<placement::Machine>& machines, Moment now) const {
     std::vector<Queued> out;
     auto beyond = beyond_guarantee();
     for (const auto& [order, job] : view_->queue())
         if (job->state == JobState::active && job->open() > 0)
-            out.push_back({job, static_cast<int>(job->spec->rank), beyond.count(job) > 0, false});
+            out.push_back({job, static_cast<int>(job->spec->rank), beyond.count(job) > 0});
     std::stable_sort(out.begin(), out.end(), [](const Queued& a, const Queued& b) {
         return std::pair(a.rank, a.beyond) < std::pair(b.rank, b.beyond);
     });
-    order_overloaded(out, now);
+    order_for_machines(out, machines, now);
+    order_within_limits(out, now);
     put_long_waiting_first(out, now);
     return out;
 }
 
 // No order by rank, due time or size may keep a job waiting without end: of each team, the one that has waited longest
-// goes first when that has become many leases, and is promised the next room that is wide enough for it. One at a time
-// and not too often: under overload many have waited for long, and the others would lose their order for them.
+// goes first when that has become many leases, and is promised the next room wide enough for it. They get a part of the
+// room that gets free, no more: under lasting overload many have waited for long, and nothing else would be in time.
 void Core::put_long_waiting_first(std::vector<Queued>& queue, Moment now) const {
+    if (now.steady < waitedNextS_) return;
     std::map<std::string, Queued*> oldest;
     for (Queued& q : queue) {
         const Job& job = *q.job;
         if (job.placed + job.done > 0 || now.wall - job.atS < kWaitedLeases * settings_.leaseS) continue;
-        auto last = waitedStarts_.find(job.spec->crew);
-        if (last != waitedStarts_.end() && now.steady - last->second < kWaitedEvery * settings_.leaseS) continue;
         Queued*& o = oldest[job.spec->crew];
         if (!o || job.atS < o->job->atS) o = &q;
     }
@@ -66,6 +66,12 @@
     std::stable_partition(queue.begin(), queue.end(), [](const Queued& q) { return q.waited; });
 }
 
+// The machines turn over once in about a run time. What this job takes of them is a kWaitedPart of what gets free until
+// the next such job may go first.
+void Core::note_waited_start(const Queued& q, Moment now) {
+    waitedNextS_ = std::max(waitedNextS_, now.steady) + q.share * q.job->spec->expectS / kWaitedPart;
+}
+
 // By when users want such a job to be over, in seconds from its submission, dearest first.
 std::vector<double> Core::due_times(const wire::JobSpec& spec, bool beyond) const {
     std::vector<double> out;
@@ -82,10 +88,52 @@
     return out;
 }
 
+// Where more is asked for than the machines have room for, submission order would make all jobs late one after the
+// other. Among the jobs of one rank, within or beyond the guarantees, the order then follows what can still start in
+// time.
+void Core::order_for_machines(std::vector<Queued>& queue, const std::vector<placement::Machine>& machines,
+                              Moment now) const {
+    std::map<std::string, placement::RoomCurve> rooms;  // by lane: jobs of one lane are of one shape, more or less
+    double ahead = 0;
+    for (std::size_t first = 0, last; first < queue.size(); first = last) {
+        std::vector<placement::DueJob> jobs;
+        std::vector<const placement::RoomCurve*> room;
+        double wanted = ahead;
+        bool lacking = false;
+        for (last = first;
+             last < queue.size() && queue[last].rank == queue[first].rank && queue[last].beyond == queue[first].beyond;
+             ++last) {
+            Queued& q = queue[last];
+            const wire::JobSpec& s = *q.job->spec;
+            auto at = rooms.find(s.lane);
+            if (at == rooms.end())
+                at = rooms.try_emplace(s.lane, placement::RoomCurve(machines, request_of(*q.job), now.wall)).first;
+            room.push_back(&at->second);
+            q.share = at->second.all() ? static_cast<double>(q.job->open()) / at->second.all() : 0;
+            double waited = now.wall - static_cast<double>(q.job->atS);
+            placement::DueJob d{q.share, 0, due_times(s, q.beyond)};
+            for (double& due : d.due) due -= s.expectS;
+            d.due.push_back(kWaitedLeases * settings_.leaseS);
+            for (double& due : d.due) due -= waited;
+            jobs.push_back(std::move(d));
+            wanted += q.share;
+            lacking = lacking || wanted > at->second.within(0);
+        }
+        if (lacking && jobs.size() > 1) {
+            auto order = placement::order_by_due(
+                jobs, [&](std::size_t job, double due) { return room[job]->within(due); }, ahead);
+            std::vector<Queued> sorted;
+            for (std::size_t k : order) sorted.push_back(queue[first + k]);
+            std::copy(sorted.begin(), sorted.end(), queue.begin() + static_cast<std::ptrdiff_t>(first));
+        }
+        ahead = wanted;
+    }
+}
+
 // Where a team asks for more than its limit, submission order would make all of its jobs late one after the other.
 // Among its jobs of one rank the order then follows what can still be in time. Outside of that, and for all others,
 // submission order stays.
-void Core::order_overloaded(std::vector<Queued>& queue, Moment now) const {
+void Core::order_within_limits(std::vector<Queued>& queue, Moment now) const {
     std::map<std::pair<std::string, int>, std::vector<std::size_t>> groups;
     for (std::size_t i = 0; i < queue.size(); ++i)
         if (!due_times(*queue[i].job->spec, queue[i].beyond).empty())
@@ -113,7 +161,7 @@
             jobs.push_back(std::move(d));
         }
         if (limit <= 0 || wanted <= limit) continue;
-        auto order = placement::order_by_due(jobs, limit);
+        auto order = placement::order_by_due(jobs, [&](std::size_t, double due) { return limit * due; });
         std::vector<Queued> sorted;
         for (std::size_t k : order) sorted.push_back(queue[places[k]]);
         for (std::size_t k = 0; k < places.size(); ++k) queue[places[k]] = sorted[k];
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -208,7 +208,7 @@
     // disturb no promise.
     std::set<std::string> spared;  // lanes for which room has been left
     std::vector<std::uint32_t> open;
-    for (const Queued& q : ordered_queue(now)) {
+    for (const Queued& q : ordered_queue(planner.machines(), now)) {
         Job& job = *q.job;
         const wire::JobSpec& s = *job.spec;
         // Before lower ranks take what is free, room is left for what higher ranks usually ask for within two reports:
@@ -273,7 +273,7 @@
         }
         if (gang && whole.tasks.size() == s.steps) plan.starts.push_back(std::move(whole));
         teamRoom = {teamRoom.cores - started * s.cores, teamRoom.gpus - started * s.gpus, teamRoom.ramGb};
-        if (q.waited && started > 0 && act) waitedStarts_[s.crew] = now.steady;
+        if (q.waited && started > 0 && act) note_waited_start(q, now);
         if (started < r.count) plan.unmet.push_back({&job, r.count - started, q.beyond, soonest});
         if (auto it = reservations_.find(job.id); it != reservations_.end()) {
             if (started == r.count)
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -3,6 +3,7 @@
 #include "placement/lem.hpp"
 #include "placement/overload.hpp"
 #include "placement/rental.hpp"
+#include "placement/room.hpp"
 
 using namespace wellstair::placement;
 
@@ -137,10 +138,34 @@
 TEST(Overload, AsManyAsPossibleAreInTime) {
     // One job of 100 s would make the three short ones late; it steps back.
     std::vector<DueJob> jobs = {{100, 10, {110, 300}}, {30, 10, {120}}, {30, 10, {130}}, {30, 10, {140}}};
-    EXPECT_EQ(order_by_due(jobs, 1), (std::vector<std::size_t>{1, 2, 3, 0}));
+    auto rate = [](std::size_t, double due) { return due; };
+    EXPECT_EQ(order_by_due(jobs, rate), (std::vector<std::size_t>{1, 2, 3, 0}));
     // What is late at every level keeps the given order behind the rest.
     jobs = {{10, 10, {-5, -1}}, {10, 10, {-9}}, {10, 10, {50}}};
-    EXPECT_EQ(order_by_due(jobs, 1), (std::vector<std::size_t>{2, 0, 1}));
+    EXPECT_EQ(order_by_due(jobs, rate), (std::vector<std::size_t>{2, 0, 1}));
+}
+
+// On full machines, what counts is what gets free in time: the wide job that would make the small ones late steps back,
+// and is still before those that are late anyway.
+TEST(Overload, OrderFollowsTheRoomThatGetsFree) {
+    std::vector<Machine> machines(4);
+    for (std::size_t i = 0; i < machines.size(); ++i) {
+        machines[i].total = {16, 0, 64};
+        machines[i].holds = {{0, 10.0 * (i + 1), {15, 0, 26}}};  // one gets free every 10 s
+    }
+    Request shape;
+    shape.need = {15, 0, 26}, shape.allowed = {true};
+    RoomCurve room(machines, shape, 0);
+    EXPECT_EQ(room.all(), 4u);
+    EXPECT_EQ(room.within(9), 0);
+    EXPECT_EQ(room.within(10), 0.25);
+    EXPECT_EQ(room.within(100), 1);
+    EXPECT_EQ(room.within(-1), 0);
+    std::vector<DueJob> jobs = {{0.75, 0, {25, 200}}, {0.25, 0, {25, 200}}, {0.25, 0, {25, 200}}, {0.25, 0, {-5}}};
+    auto by = [&](std::size_t, double due) { return room.within(due); };
+    EXPECT_EQ(order_by_due(jobs, by), (std::vector<std::size_t>{1, 2, 0, 3}));
+    // Others that go before all of these leave them less.
+    EXPECT_EQ(order_by_due(jobs, by, 0.25), (std::vector<std::size_t>{1, 2, 0, 3}));
 }
 
 TEST(Rental, CheapestPerTaskAndWhatIsComingIsFilledFirst) {
