Sockets, hints and the first answers after standing still at hundreds of machines

Commands now have a twentieth of the sockets, longest unused closed first; the front has 92%, of which users are sure of a tenth, and the longest idle one of whoever has more than its part goes first. Hints list any number of machines (1,024 before), by name, and are put together once for all who are told. A controller judges its standing by the clock before it answers what queued up while it stood still.

--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr double kWaitedLeases = 5;   // a job that has waited for so many leases goes first,
-constexpr double kWaitedPart = 0.25;  // with such jobs taking this part of the room that gets free, if they need it
+constexpr double kWaitedPart = 0.6;  // with such jobs taking this part of the room that gets free, if they need it
 
 }  // namespace
 
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -21,7 +21,10 @@
 constexpr double kRenewPerTtl = 1.0 / 3;     // two renewals may fail
 constexpr double kStoreTimeoutS = 1.0;       // "usually under 10 ms, occasionally a few hundred"
 constexpr double kUserTimeoutS = 1.8;        // users wait 2 s for a poll
-constexpr double kSocketsForUsers = 0.8;
+// Of max_sockets; the rest is for the state service, the cloud and the other controllers.
+constexpr double kSocketsForFront = 0.92, kSocketsForCommands = 0.05;
+
+constexpr double kHintFor = 0.3;  // hints go out twice a second
 
 std::uint64_t random_id() {
     std::random_device d;
@@ -91,7 +94,7 @@
       core_(s, tunables, random_id()),
       store_(io, s),
       cloud_(io, s),
-      channels_(io),
+      channels_(io, std::max<std::size_t>(1, static_cast<std::size_t>(kSocketsForCommands * s.maxSockets))),
       changed_(io),
       work_(io),
       userWork_(io),
@@ -103,10 +106,20 @@
     h.poll = [this](std::string id) { return on_poll(std::move(id)); };
     h.withdraw = [this](std::string id) { return on_withdraw(std::move(id)); };
     h.healthy = [this] { return healthy(); };
-    front_ = std::make_unique<front::Server>(io, s.front, static_cast<std::size_t>(kSocketsForUsers * s.maxSockets),
-                                             std::move(h));
+    front_ = std::make_unique<front::Server>(io, s.front, static_cast<std::size_t>(kSocketsForFront * s.maxSockets),
+                                             s.leaseS, std::move(h));
     mesh_ = std::make_unique<peers::Mesh>(
-        io, s, [this] { return core_.own_hint(net::steady_now() - store_.last_ok(), now()); },
+        io, s,
+        [this] {
+            // Put together once for all who are told in the same moment: it looks at every machine.
+            if (net::steady_now() - hintAt_ > kHintFor) {
+                hintAt_ = net::steady_now();
+                hint_ = core_.own_hint(0, now());
+            }
+            hint_.storeAgeS = net::steady_now() - store_.last_ok();
+            hint_.live = core_.member_state() == MemberState::live;
+            return hint_;
+        },
         [this](const peers::Hint& hint) { core_.set_hint(hint, now()); });
 }
 
@@ -314,6 +327,7 @@
 
 // The view is of this moment. (GCC 12 miscompiles co_await inside || and &&: each stands in a statement of its own.)
 asio::awaitable<bool> Service::present() {
+    judge_standing();
     if (core_.member_state() != MemberState::live) co_return false;
     bool ok = co_await barrier(kUserTimeoutS);
     co_return ok;
@@ -562,6 +576,9 @@
     auto body = wire::decode(bytes);
     auto report = body ? wire::parse_report(*body) : std::nullopt;
     if (!report) co_return refusal(400, "not a report");
+    // A process that has stood still answers what has queued up meanwhile before any of its timers: whether it may still
+    // act for the controllers is judged first, by the clock as it is now.
+    judge_standing();
     // The worker gives up after 4 s; what it no longer waits for would only hold it here.
     double until = net::steady_now() + 2.5;
     for (;;) {
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -87,6 +87,8 @@
     std::deque<OpPtr> ops_;
     std::uint64_t asks_ = 0;
     double adriftSince_ = 0;
+    peers::Hint hint_;
+    double hintAt_ = -1e9;
     double readFailedSince_ = 0;  // the first of the reads that have failed in a row; 0: the last succeeded
 };
 
--- a/src/front/server.cpp
+++ b/src/front/server.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cmath>
+#include <optional>
+#include <utility>
 
 namespace wellstair::front {
 
@@ -29,23 +31,48 @@
 }
 
 constexpr auto kIdle = std::chrono::seconds(120);
+constexpr int kBacklog = 4096;  // all machines may come at once, after all controllers were down
 constexpr auto kTransfer = std::chrono::seconds(10);
-constexpr std::string_view kRuns = "/v2/runs";
+constexpr std::string_view kRuns = "/v2/runs", kCheckin = "/checkin";
 }  // namespace
 
-Server::Server(asio::io_context& io, const app::Endpoint& endpoint, std::size_t most, Handlers handlers)
-    : io_(io), acceptor_(io), most_(most), handlers_(std::move(handlers)) {
+struct Server::Connection {
+    explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
+    beast::tcp_stream stream;
+    Caller caller = Caller::user;
+    bool counted = true;
+    std::optional<std::list<Connection*>::iterator> place;  // in waiting_
+};
+
+Server::Server(asio::io_context& io, const app::Endpoint& endpoint, std::size_t most, double workerIdleS,
+               Handlers handlers)
+    : io_(io), acceptor_(io), workerIdleS_(workerIdleS), handlers_(std::move(handlers)), lots_(most) {
     tcp::endpoint at(asio::ip::make_address_v4(endpoint.host), endpoint.port);
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(at);
-    acceptor_.listen(512);
+    acceptor_.listen(kBacklog);
 }
 
 void Server::start() {
     asio::co_spawn(io_, accept(), asio::detached);
 }
 
+void Server::begin_wait(Connection& c) {
+    auto& list = waiting_[c.caller];
+    c.place = list.insert(list.end(), &c);
+}
+
+void Server::end_wait(Connection& c) {
+    if (c.place) waiting_[c.caller].erase(*c.place);
+    c.place.reset();
+}
+
+void Server::release(Connection& c) {
+    end_wait(c);
+    if (std::exchange(c.counted, false)) lots_.give(c.caller);
+}
+
 asio::awaitable<void> Server::accept() {
     for (;;) {
         auto [ec, socket] = co_await acceptor_.async_accept(kAwait);
@@ -53,29 +80,40 @@
             co_await net::sleep_for(io_, 0.05);
             continue;
         }
-        // Beyond the limit a connection is closed at once: its caller goes elsewhere, and the sockets we need to reach
-        // the state service and the workers stay free.
-        if (open_ >= most_) continue;
+        // Beyond the limit the connection that has been idle for longest is closed, of workers or of users, whoever has
+        // more than its part: with one controller left for all machines, they must not shut the users out, nor users
+        // them, and the sockets that we need for the state service and for commands stay free.
+        if (lots_.full()) {
+            auto& idle = waiting_[lots_.over()];
+            if (idle.empty()) continue;  // all are busy: the new one is closed, and its caller goes elsewhere
+            Connection& oldest = *idle.front();
+            release(oldest);
+            oldest.stream.close();
+        }
         asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
     }
 }
 
 asio::awaitable<void> Server::serve(tcp::socket socket) {
-    struct Count {
-        std::size_t& n;
-        explicit Count(std::size_t& c) : n(c) { ++n; }
-        ~Count() { --n; }
-    } count(open_);
+    Connection c(std::move(socket));
+    beast::tcp_stream& stream = c.stream;
+    lots_.take(c.caller);
     beast::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    beast::tcp_stream stream(std::move(socket));
+    stream.socket().set_option(tcp::no_delay(true), ignored);
     beast::flat_buffer buffer(2 * wire::kBodyLimit);
     const auto& kHttpErrors = http::make_error_code(http::error::end_of_stream).category();
-    for (;;) {
+    while (c.counted) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(wire::kBodyLimit);
-        stream.expires_after(kIdle);
+        if (c.caller == Caller::worker)
+            stream.expires_after(
+                std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(workerIdleS_)));
+        else
+            stream.expires_after(kIdle);
+        begin_wait(c);
         auto [re, rn] = co_await http::async_read(stream, buffer, parser, kAwait);
+        end_wait(c);
+        if (!c.counted) break;  // closed to make room
         Response response;
         bool keep = false;
         unsigned version = 11;
@@ -90,6 +128,9 @@
             auto& req = parser.get();
             keep = req.keep_alive();
             version = req.version();
+            Caller caller = req.target() == kCheckin ? Caller::worker : Caller::user;
+            lots_.give(std::exchange(c.caller, caller));
+            lots_.take(caller);
             response =
                 co_await route(std::string(req.method_string()), std::string(req.target()), std::move(req.body()));
         }
@@ -105,6 +146,7 @@
         auto [we, wn] = co_await http::async_write(stream, out, kAwait);
         if (we || !keep) break;
     }
+    release(c);
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
@@ -116,7 +158,7 @@
         if (method != "GET") co_return wrong("GET");
         co_return health(handlers_.healthy());
     }
-    if (path == "/checkin") {
+    if (path == kCheckin) {
         if (method != "POST") co_return wrong("POST");
         co_return co_await handlers_.checkin(std::move(body));
     }
--- a/src/front/server.hpp
+++ b/src/front/server.hpp
@@ -3,7 +3,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <list>
+#include <map>
 
+#include "front/lots.hpp"
 #include "net/http.hpp"
 #include "wire/codec.hpp"
 
@@ -26,18 +29,26 @@
 
 class Server {
   public:
-    Server(asio::io_context& io, const app::Endpoint& endpoint, std::size_t mostConnections, Handlers handlers);
+    // `workerIdleS`: a worker's connection that has been quiet for so long is dead.
+    Server(asio::io_context& io, const app::Endpoint& endpoint, std::size_t mostConnections, double workerIdleS,
+           Handlers handlers);
     void start();
 
   private:
+    struct Connection;
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
     asio::awaitable<Response> route(std::string method, std::string target, std::string body);
+    void begin_wait(Connection& c);
+    void end_wait(Connection& c);
+    void release(Connection& c);
 
     asio::io_context& io_;
     asio::ip::tcp::acceptor acceptor_;
-    std::size_t most_, open_ = 0;
+    double workerIdleS_;
     Handlers handlers_;
+    Lots lots_;
+    std::map<Caller, std::list<Connection*>> waiting_;  // for a request, longest first
 };
 
 }  // namespace wellstair::front
--- a/src/peers/packet.cpp
+++ b/src/peers/packet.cpp
@@ -5,7 +5,8 @@
 namespace wellstair::peers {
 namespace {
 
-constexpr std::size_t kMostHosts = 1024;
+// Bounds what a packet can ask to be read: a controller keeps fewer machines by far than its sockets would allow.
+constexpr std::size_t kMostHosts = 65536;
 
 template <std::size_t N>
 void put_text(char (&to)[N], const std::string& from) {
@@ -21,7 +22,7 @@
 
 std::string pack(const Hint& hint) {
     HintHeader h;
-    h.hosts = static_cast<std::uint16_t>(std::min(hint.unusable.size(), kMostHosts));
+    h.hosts = static_cast<std::uint32_t>(std::min(hint.unusable.size(), kMostHosts));
     h.incarnation = hint.incarnation;
     h.storeAgeMs = static_cast<std::uint32_t>(std::clamp(hint.storeAgeS * 1000, 0.0, 4e9));
     h.live = hint.live;
@@ -55,6 +56,8 @@
         std::memcpy(&e, bytes.data() + sizeof h + i * sizeof e, sizeof e);
         hint.unusable.push_back({get_text(e.name), e.deaf != 0});
     }
+    std::sort(hint.unusable.begin(), hint.unusable.end(),
+              [](const UnusableHost& a, const UnusableHost& b) { return a.name < b.name; });
     return hint;
 }
 
--- a/src/peers/packet.hpp
+++ b/src/peers/packet.hpp
@@ -12,17 +12,18 @@
 namespace wellstair::peers {
 
 inline constexpr std::uint32_t kMagic = 0x77737472;  // "wstr"
-inline constexpr std::uint16_t kVersion = 2;
+inline constexpr std::uint16_t kVersion = 3;
 
 #pragma pack(push, 1)
 struct HintHeader {
     std::uint32_t magic = kMagic;
     std::uint16_t version = kVersion;
-    std::uint16_t hosts = 0;        // HostHint entries that follow
+    std::uint8_t live = 0;  // the sender's member key stands
+    std::uint8_t unused = 0;
+    std::uint32_t hosts = 0;        // HostHint entries that follow
     std::uint64_t incarnation = 0;  // of the sender
     std::uint32_t storeAgeMs = 0;   // since the state service last answered the sender
-    std::uint8_t live = 0;          // the sender's member key stands
-    char member[31] = {};
+    char member[32] = {};
 };
 
 struct HostHint {  // one of the sender's machines that cannot take work now
@@ -31,7 +32,7 @@
 };
 #pragma pack(pop)
 
-static_assert(sizeof(HintHeader) == 52 && sizeof(HostHint) == 32);
+static_assert(sizeof(HintHeader) == 56 && sizeof(HostHint) == 32);
 
 struct UnusableHost {
     std::string name;
@@ -44,13 +45,17 @@
     std::uint64_t incarnation = 0;
     double storeAgeS = 0;
     bool live = false;
-    std::vector<UnusableHost> unusable;
+    std::vector<UnusableHost> unusable;  // by name: plans ask for each machine, and a dark zone lists hundreds
 
-    bool lists(const std::string& host) const {
-        return std::any_of(unusable.begin(), unusable.end(), [&](const auto& u) { return u.name == host; });
+    const UnusableHost* find(const std::string& host) const {
+        auto it = std::lower_bound(unusable.begin(), unusable.end(), host,
+                                   [](const UnusableHost& u, const std::string& name) { return u.name < name; });
+        return it != unusable.end() && it->name == host ? &*it : nullptr;
     }
+    bool lists(const std::string& host) const { return find(host); }
     bool deaf(const std::string& host) const {
-        return std::any_of(unusable.begin(), unusable.end(), [&](const auto& u) { return u.deaf && u.name == host; });
+        const UnusableHost* u = find(host);
+        return u && u->deaf;
     }
 };
 
--- a/src/workers/channel.cpp
+++ b/src/workers/channel.cpp
@@ -5,9 +5,18 @@
 
 namespace wellstair::workers {
 
-bool Channels::busy(const std::string& host) const {
+// Room is made for a host's channel here: a kept connection to each of a thousand machines, beside those on which they
+// report, would be more sockets than there are.
+bool Channels::busy(const std::string& host) {
     auto it = channels_.find(host);
-    return it != channels_.end() && it->second.busy;
+    if (it != channels_.end()) return it->second.busy;
+    if (channels_.size() < most_) return false;
+    auto oldest = channels_.end();
+    for (auto c = channels_.begin(); c != channels_.end(); ++c)
+        if (!c->second.busy && (oldest == channels_.end() || c->second.used < oldest->second.used)) oldest = c;
+    if (oldest == channels_.end()) return true;
+    channels_.erase(oldest);
+    return false;
 }
 
 asio::awaitable<CommandResult> Channels::command(std::string host, std::string address, std::uint64_t baton,
@@ -29,6 +38,7 @@
             io_, app::Endpoint{address.substr(0, colon), static_cast<std::uint16_t>(port)});
     }
     channel.busy = true;
+    channel.used = ++uses_;
     auto http = channel.http;
     wire::Json body;
     body["baton"] = baton;
--- a/src/workers/channel.hpp
+++ b/src/workers/channel.hpp
@@ -20,8 +20,10 @@
 
 class Channels {
   public:
-    explicit Channels(asio::io_context& io) : io_(io) {}
-    bool busy(const std::string& host) const;
+    // `most`: connections at a time; beyond that the one that was used longest ago is closed.
+    Channels(asio::io_context& io, std::size_t most) : io_(io), most_(most) {}
+    // A command is under way there, or no connection can be had for one.
+    bool busy(const std::string& host);
     asio::awaitable<CommandResult> command(std::string host, std::string address, std::uint64_t baton,
                                            std::uint64_t tenure, std::vector<wire::Order> orders, double timeoutS);
     // Drops the channels of hosts that are not to be kept, unless a command is under way there.
@@ -34,8 +36,11 @@
         std::string address;
         std::shared_ptr<net::HttpClient> http;
         bool busy = false;
+        std::uint64_t used = 0;  // counts up with each use
     };
     asio::io_context& io_;
+    std::size_t most_;
+    std::uint64_t uses_ = 0;
     std::unordered_map<std::string, Channel> channels_;
 };
 
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -17,6 +17,20 @@
     EXPECT_EQ(again->unusable, h.unusable);
 }
 
+// A zone that goes dark makes hundreds of machines unusable at once, all of a site's if need be: none is left out, or
+// the others would go on planning for it.
+TEST(Peers, EveryMachineOfALargeSiteHasRoom) {
+    Hint h{"a", 1, 0, true, {}};
+    for (int i = 3000; i > 0; --i) h.unusable.push_back({"n-" + std::to_string(i), i % 2 == 0});
+    auto again = unpack(pack(h));
+    ASSERT_TRUE(again);
+    for (const auto& u : h.unusable) {
+        EXPECT_TRUE(again->lists(u.name));
+        EXPECT_EQ(again->deaf(u.name), u.deaf);
+    }
+    EXPECT_FALSE(again->lists("n-0"));
+}
+
 TEST(Peers, ForeignBytesAreRefused) {
     std::string bytes = pack({"a", 1, 0, true, {}});
     EXPECT_FALSE(unpack(bytes.substr(0, 20)));
