Long-waiting jobs go first by age over all teams, those that can still begin in time before the rest

Now the longest waits of all teams go first within their part of the room (0.7), skipping teams at their limit; who has waited for more than eight leases stands back but for every fourth lease.

--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -12,8 +12,11 @@
 
 namespace {
 
-constexpr double kWaitedLeases = 5;   // a job that has waited for so many leases goes first,
-constexpr double kWaitedPart = 0.6;  // with such jobs taking this part of the room that gets free, if they need it
+// A job that has waited for `kWaitedLeases` goes first, if it can, before it has waited for `kLateLeases`; such jobs
+// take `kWaitedPart` of the room that gets free, if they need it. Every `kLateTurn`th lease is for those that are later
+// still.
+constexpr double kWaitedLeases = 5, kLateLeases = 8, kWaitedPart = 0.7;
+constexpr std::int64_t kLateTurn = 4;
 
 }  // namespace
 
@@ -49,27 +52,56 @@
     return out;
 }
 
-// No order by rank, due time or size may keep a job waiting without end: of each team, the one that has waited longest
-// goes first when that has become many leases, and is promised the next room wide enough for it. They get a part of the
-// room that gets free, no more: under lasting overload many have waited for long, and nothing else would be in time.
+// No order by rank, due time or size may keep a job waiting without end: who has waited for many leases goes first, the
+// longest wait before the others, and is promised the next room wide enough for it. They get a part of the room that
+// gets free, no more: under lasting overload many have waited for long, and nothing else would be in time. By age alone
+// they would then all be late in turn: those that are too late already stand back, but for a turn of their own.
 void Core::put_long_waiting_first(std::vector<Queued>& queue, Moment now) const {
-    if (now.steady < waitedNextS_) return;
-    std::map<std::string, Queued*> oldest;
+    std::vector<Queued*> waiting;
     for (Queued& q : queue) {
         const Job& job = *q.job;
         if (job.placed + job.done > 0 || now.wall - job.atS < kWaitedLeases * settings_.leaseS) continue;
-        Queued*& o = oldest[job.spec->crew];
-        if (!o || job.atS < o->job->atS) o = &q;
+        if (has_team_room(*job.spec)) waiting.push_back(&q);
+    }
+    if (waiting.empty()) return;
+    bool lateTurn = static_cast<std::int64_t>(now.wall / settings_.leaseS) % kLateTurn == 0;
+    std::sort(waiting.begin(), waiting.end(), [&](const Queued* a, const Queued* b) {
+        auto key = [&](const Queued* q) {
+            bool late = now.wall - q->job->atS > kLateLeases * settings_.leaseS;
+            return std::pair(late && !lateTurn, q->job->order);
+        };
+        return key(a) < key(b);
+    });
+    double next = waitedNextS_;
+    for (Queued* q : waiting) {
+        if (next > now.steady) break;
+        q->waited = true;
+        next = std::max(next, now.steady) + waited_cost(*q);
     }
-    if (oldest.empty()) return;
-    for (auto& [crew, q] : oldest) q->waited = true;
     std::stable_partition(queue.begin(), queue.end(), [](const Queued& q) { return q.waited; });
 }
 
-// The machines turn over once in about a run time. What this job takes of them is a kWaitedPart of what gets free until
-// the next such job may go first.
+// The tasks that it is to start at once, all of a gang or one of a batch, fit below the team's limit now.
+bool Core::has_team_room(const wire::JobSpec& s) const {
+    const app::Team* team = settings_.team(s.crew);
+    auto used = view_->teams().find(s.crew);
+    if (!team || used == view_->teams().end()) return true;
+    double tasks = s.shape == wire::Shape::gang ? s.steps : 1;
+    auto fits = [&](double limit, std::int64_t use, double more) {
+        return limit <= 0 || static_cast<double>(use) / 1000 + more * tasks <= limit + 1e-9;
+    };
+    return fits(team->cpusMax, used->second.total.cores, s.cores) &&
+           fits(team->gpusMax, used->second.total.gpus, s.gpus);
+}
+
+// The machines turn over once in about a run time: what this job takes of them is a kWaitedPart of what gets free in so
+// many seconds.
+double Core::waited_cost(const Queued& q) const {
+    return q.share * q.job->spec->expectS / kWaitedPart;
+}
+
 void Core::note_waited_start(const Queued& q, Moment now) {
-    waitedNextS_ = std::max(waitedNextS_, now.steady) + q.share * q.job->spec->expectS / kWaitedPart;
+    waitedNextS_ = std::max(waitedNextS_, now.steady) + waited_cost(q);
 }
 
 // By when users want such a job to be over, in seconds from its submission, dearest first.
