--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -516,6 +516,13 @@
     return best && *best == settings_.member;
 }
 
+// The role hangs on this process's lease. Inherited by name alone it would end with the lease of the one before, in the
+// middle of this one's calls.
+bool Core::take_cloud_role(Draft& draft, std::uint64_t hold) const {
+    Json holder = {{"by", settings_.member}, {"inc", incarnation_}};
+    return draft.put(model::keys::kCloudRole, view_->cloud_role_stamp(), std::move(holder), hold);
+}
+
 bool Core::tick(Moment now) {
     now_ = now;
     bool changed = false;
@@ -692,7 +699,7 @@
             return;
         }
     }
-    if (view_->cloud_role() == settings_.member)
+    if (holds_cloud_role())
         for (const auto& [path, stamp] : view_->leftovers())
             if (!draft.sweep(path, stamp)) return;
 }
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -95,6 +95,14 @@
     Draft new_draft();
 
     // --- cloud (the holder of the role)
+    // This process holds it. One of the same name that has ended holds it until its lease ends: this one takes it over.
+    bool holds_cloud_role() const {
+        return view_->cloud_role() == settings_.member && view_->cloud_role_incarnation() == incarnation_;
+    }
+    bool may_take_cloud_role() const {
+        return !view_->cloud_role_stamp() || (view_->cloud_role() == settings_.member && !holds_cloud_role());
+    }
+    bool take_cloud_role(Draft& draft, std::uint64_t hold) const;
     struct CloudView {
         std::vector<wire::Machine> machines;
         double atS = -1e9;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -448,7 +448,7 @@
 void Core::plan_rentals(Moment now) {
     now_ = now;
     wanted_.clear();
-    if (view_->cloud_role() != settings_.member || view_->types().empty()) return;
+    if (!holds_cloud_role() || view_->types().empty()) return;
     Plan plan = make_plan(now, false);
     for (const auto& u : plan.unmet) wanted_.emplace_back(*u.job->spec, u.tasks);
     // Ahead of demand: what usually arrives while a machine boots.
@@ -479,7 +479,7 @@
 
 std::vector<RentalOrder> Core::rentals(Moment now) {
     std::vector<RentalOrder> out;
-    if (view_->cloud_role() != settings_.member || view_->types().empty()) return out;
+    if (!holds_cloud_role() || view_->types().empty()) return out;
     std::erase_if(coming_, [&](auto& e) {
         HostRecord* h = view_->host(e.first);
         const auto* t = view_->type(e.second.what.build);
@@ -562,7 +562,7 @@
             if (!draft.mark_return(name, h->hall, saves ? at : lostAt, false, why)) return;
         }
     }
-    if (view_->cloud_role() != settings_.member) return;
+    if (!holds_cloud_role()) return;
     std::vector<HostRecord*> forget;
     for (const auto& [name, h] : view_->hosts()) {
         if (!h->range) continue;
@@ -598,7 +598,7 @@
 
 std::vector<std::string> Core::returns_due(Moment now) {
     std::vector<std::string> out;
-    if (view_->cloud_role() != settings_.member) return out;
+    if (!holds_cloud_role()) return out;
     for (const auto& [name, h] : view_->hosts()) {
         if (h->leaving != model::Leaving::marked) continue;
         // What runs there gets the time to save; a machine that is lost has nothing to save.
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -59,10 +59,6 @@
             {"apply", Json::array({{{"set", keys::member(name)}, {"data", data}, {"hold", hold}}})}};
 }
 
-Json role_holder(const std::string& name) {
-    return {{"by", name}};
-}
-
 Json type_list(const std::vector<wire::MachineType>& types) {
     Json list = Json::array();
     for (const auto& t : types) list.push_back(to_json(t));
@@ -576,8 +572,8 @@
     auto body = wire::decode(bytes);
     auto report = body ? wire::parse_report(*body) : std::nullopt;
     if (!report) co_return refusal(400, "not a report");
-    // A process that has stood still answers what has queued up meanwhile before any of its timers: whether it may still
-    // act for the controllers is judged first, by the clock as it is now.
+    // A process that has stood still answers what has queued up meanwhile before any of its timers: whether it may
+    // still act for the controllers is judged first, by the clock as it is now.
     judge_standing();
     // The worker gives up after 4 s; what it no longer waits for would only hold it here.
     double until = net::steady_now() + 2.5;
@@ -617,13 +613,13 @@
     for (;;) {
         co_await net::sleep_for(io_, net::jitter(settings_.reportS / 3));
         if (core_.member_state() != MemberState::live || !core_.member_stamp()) continue;
-        if (!core_.view().cloud_role_stamp()) {
+        if (core_.may_take_cloud_role()) {
             Draft d = core_.new_draft();
-            d.put(keys::kCloudRole, 0, role_holder(settings_.member), hold_);
+            core_.take_cloud_role(d, hold_);
             co_await apply_draft(std::move(d));
-            if (core_.view().cloud_role() == settings_.member) spdlog::info("took the cloud role");
+            if (core_.holds_cloud_role()) spdlog::info("took the cloud role");
         }
-        if (core_.view().cloud_role() != settings_.member) continue;
+        if (!core_.holds_cloud_role()) continue;
         double t = net::steady_now();
         if (core_.view().types().empty() || t - typesAt > 60) {
             auto types = co_await cloud_.types();
@@ -645,7 +641,7 @@
         core_.plan_rentals(now());
         for (int calls = 0; calls < 12; ++calls) {
             auto orders = core_.rentals(now());
-            if (orders.empty() || core_.view().cloud_role() != settings_.member) break;
+            if (orders.empty() || !core_.holds_cloud_role()) break;
             const RentalOrder o = orders.front();
             // A request name is never used again, not even by another process: it carries the incarnation.
             std::string ask = "r-" + std::to_string(core_.incarnation()) + "-" + std::to_string(++asks_);
--- a/src/model/view.cpp
+++ b/src/model/view.cpp
@@ -248,6 +248,7 @@
         if (stamp <= cloudRoleStamp_) return;
         cloudRoleStamp_ = data ? stamp : 0;
         cloudRole_ = data ? data->value("by", "") : "";
+        cloudRoleIncarnation_ = data ? data->value("inc", std::uint64_t{0}) : 0;
     } else if (path == keys::kTypes) {
         if (!data || stamp <= typesStamp_) return;
         typesStamp_ = stamp;
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -180,6 +180,7 @@
     const std::map<std::string, wire::MachineType>& types() const { return types_; }
     std::uint64_t types_stamp() const { return typesStamp_; }
     const std::string& cloud_role() const { return cloudRole_; }
+    std::uint64_t cloud_role_incarnation() const { return cloudRoleIncarnation_; }
     std::uint64_t cloud_role_stamp() const { return cloudRoleStamp_; }
     // Chunks whose job is over, by key: to be removed.
     const std::map<std::string, std::uint64_t>& leftovers() const { return leftovers_; }
@@ -228,7 +229,7 @@
     std::map<std::string, wire::MachineType> types_;
     std::uint64_t typesStamp_ = 0;
     std::string cloudRole_;
-    std::uint64_t cloudRoleStamp_ = 0;
+    std::uint64_t cloudRoleStamp_ = 0, cloudRoleIncarnation_ = 0;
     std::map<std::string, std::uint64_t> leftovers_;
 };
 
--- a/tests/mixed_troubles_test.cpp
+++ b/tests/mixed_troubles_test.cpp
@@ -310,9 +310,9 @@
         if (n.core->member_state() != model::MemberState::live) return;
         commit(n, n.core->round(moment()));
         for (auto& [host, orders] : n.core->commands_due(moment())) command(n, host, orders);
-        if (!n.core->view().cloud_role_stamp()) {
+        if (n.core->may_take_cloud_role()) {
             auto draft = n.core->new_draft();
-            draft.put(model::keys::kCloudRole, 0, {{"by", n.settings.member}}, 0);
+            n.core->take_cloud_role(draft, 0);
             commit(n, draft);
         }
         auto due = n.core->returns_due(moment());
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -307,9 +307,17 @@
     if (verb == "store-heard") return core.peer_has_store(now()) ? "yes" : "no";
     if (verb == "role") {  // takes the cloud role
         auto draft = core.new_draft();
-        draft.put(model::keys::kCloudRole, 0, {{"by", name}}, 0);
+        if (!core.may_take_cloud_role()) return "taken";
+        core.take_cloud_role(draft, 0);
         return commit(c, draft);
     }
+    if (verb == "draft-role") {  // as above, with the transaction held back on the way
+        auto draft = core.new_draft();
+        core.take_cloud_role(draft, 0);
+        c.held = draft.build().body;
+        return "";
+    }
+    if (verb == "holds-role") return sync(c), core.holds_cloud_role() ? "yes" : "no";
     if (verb == "team") {
         in >> arg;
         sync(c);
