--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -169,8 +169,8 @@
     void order_within_limits(std::vector<Queued>& queue, Moment now) const;
     void put_long_waiting_first(std::vector<Queued>& queue, Moment now) const;
     bool has_team_room(const wire::JobSpec& spec) const;
-    double waited_cost(const Queued& q) const;
-    void note_waited_start(const Queued& q, Moment now);
+    double waited_cost(const Queued& q, std::uint32_t tasks) const;
+    void note_waited_start(const Queued& q, std::uint32_t tasks, Moment now);
     std::vector<double> due_times(const wire::JobSpec& spec, bool beyond) const;
     struct Plan {
         struct Start {
--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -60,7 +60,9 @@
     std::vector<Queued*> waiting;
     for (Queued& q : queue) {
         const Job& job = *q.job;
-        if (job.placed + job.done > 0 || now.wall - job.atS < kWaitedLeases * settings_.leaseS) continue;
+        // An array that has begun waits with what is left of it.
+        if ((job.gang() && job.placed + job.done > 0) || now.wall - job.atS < kWaitedLeases * settings_.leaseS)
+            continue;
         if (has_team_room(*job.spec)) waiting.push_back(&q);
     }
     if (waiting.empty()) return;
@@ -76,7 +78,7 @@
     for (Queued* q : waiting) {
         if (next > now.steady) break;
         q->waited = true;
-        next = std::max(next, now.steady) + waited_cost(*q);
+        next = std::max(next, now.steady) + waited_cost(*q, q->job->open());
     }
     std::stable_partition(queue.begin(), queue.end(), [](const Queued& q) { return q.waited; });
 }
@@ -94,14 +96,14 @@
            fits(team->gpusMax, used->second.total.gpus, s.gpus);
 }
 
-// The machines turn over once in about a run time: what this job takes of them is a kWaitedPart of what gets free in so
-// many seconds.
-double Core::waited_cost(const Queued& q) const {
-    return q.share * q.job->spec->expectS / kWaitedPart;
+// The machines turn over once in about a run time: what so many tasks of this job take of them is a kWaitedPart of what
+// gets free in so many seconds.
+double Core::waited_cost(const Queued& q, std::uint32_t tasks) const {
+    return q.share * tasks / q.job->open() * q.job->spec->expectS / kWaitedPart;
 }
 
-void Core::note_waited_start(const Queued& q, Moment now) {
-    waitedNextS_ = std::max(waitedNextS_, now.steady) + waited_cost(q);
+void Core::note_waited_start(const Queued& q, std::uint32_t tasks, Moment now) {
+    waitedNextS_ = std::max(waitedNextS_, now.steady) + waited_cost(q, tasks);
 }
 
 // By when users want such a job to be over, in seconds from its submission, dearest first.
