Long-waiting jobs are counted by what is scarce for them, and wide gangs apart from the rest

Long-waiting jobs were counted by the machines that they take, but papyrus is at its own limit there, and they took all of it. They now count by whichever is scarcer; wide gangs go first after five leases with 0.7 of the room, others after seven with a quarter, what is left of arrays after ten.

--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -12,10 +12,13 @@
 
 namespace {
 
-// A job that has waited for `kWaitedLeases` goes first, if it can, before it has waited for `kLateLeases`; such jobs
-// take `kWaitedPart` of the room that gets free, if they need it. Every `kLateTurn`th lease is for those that are later
-// still.
-constexpr double kWaitedLeases = 5, kLateLeases = 8, kWaitedPart = 0.7;
+// Jobs that have waited for so many leases go first, if they can, before they have waited for `kLateLeases`, and take
+// at most such a part of the room that gets free. Wide gangs are sooner in need of that: an array begins with any room
+// there is, a gang with that for all of its tasks only. Every `kLateTurn`th lease is for those that are later still.
+constexpr double kGangWaitedLeases = 5, kGangPart = 0.7;
+constexpr double kWaitedLeases = 7, kWaitedPart = 0.25;
+constexpr double kBegunLeases = 10;  // an array that has begun, for what is left of it
+constexpr double kLateLeases = 8;
 constexpr std::int64_t kLateTurn = 4;
 
 }  // namespace
@@ -60,9 +63,10 @@
     std::vector<Queued*> waiting;
     for (Queued& q : queue) {
         const Job& job = *q.job;
-        // An array that has begun waits with what is left of it.
-        if ((job.gang() && job.placed + job.done > 0) || now.wall - job.atS < kWaitedLeases * settings_.leaseS)
-            continue;
+        bool begun = job.placed + job.done > 0;
+        if (begun && job.gang()) continue;
+        double leases = begun ? kBegunLeases : job.wide_gang() ? kGangWaitedLeases : kWaitedLeases;
+        if (now.wall - job.atS < leases * settings_.leaseS) continue;
         if (has_team_room(*job.spec)) waiting.push_back(&q);
     }
     if (waiting.empty()) return;
@@ -96,10 +100,17 @@
            fits(team->gpusMax, used->second.total.gpus, s.gpus);
 }
 
-// The machines turn over once in about a run time: what so many tasks of this job take of them is a kWaitedPart of what
-// gets free in so many seconds.
+// What is scarce turns over once in about a run time, be it the machines or what the team may use: what so many tasks
+// of this job take of it is their part of what gets free in so many seconds. Counted by the machines alone,
+// long-waiting jobs of a team at its limit took all of that limit, and none of its others was in time.
 double Core::waited_cost(const Queued& q, std::uint32_t tasks) const {
-    return q.share * tasks / q.job->open() * q.job->spec->expectS / kWaitedPart;
+    const wire::JobSpec& s = *q.job->spec;
+    double share = q.share * tasks / q.job->open();
+    if (const app::Team* team = settings_.team(s.crew)) {
+        if (team->cpusMax > 0) share = std::max(share, s.cores * tasks / team->cpusMax);
+        if (team->gpusMax > 0) share = std::max(share, s.gpus * tasks / team->gpusMax);
+    }
+    return share * s.expectS / (q.job->wide_gang() ? kGangPart : kWaitedPart);
 }
 
 void Core::note_waited_start(const Queued& q, std::uint32_t tasks, Moment now) {
@@ -147,7 +158,7 @@
             double waited = now.wall - static_cast<double>(q.job->atS);
             placement::DueJob d{q.share, 0, due_times(s, q.beyond)};
             for (double& due : d.due) due -= s.expectS;
-            d.due.push_back(kWaitedLeases * settings_.leaseS);
+            d.due.push_back(kGangWaitedLeases * settings_.leaseS);
             for (double& due : d.due) due -= waited;
             jobs.push_back(std::move(d));
             wanted += q.share;
