--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -169,8 +169,7 @@
     void order_within_limits(std::vector<Queued>& queue, Moment now) const;
     void put_long_waiting_first(std::vector<Queued>& queue, Moment now) const;
     bool has_team_room(const wire::JobSpec& spec) const;
-    double waited_cost(const Queued& q, std::uint32_t tasks) const;
-    void note_waited_start(const Queued& q, std::uint32_t tasks, Moment now);
+    void spend_waited(std::map<std::string, double>& next, const Queued& q, std::uint32_t tasks, Moment now) const;
     std::vector<double> due_times(const wire::JobSpec& spec, bool beyond) const;
     struct Plan {
         struct Start {
@@ -224,7 +223,8 @@
         double untilS;                   // time of day
     };
     std::map<std::string, Reservation> reservations_;
-    double waitedNextS_ = -1e9;    // from when on the next job that has waited for long goes first
+    // From when on the next job that has waited for long goes first: of a team, and by the machines (no name).
+    std::map<std::string, double> waitedNextS_;
     std::uint64_t lastOrder_ = 0;  // the newest job that was planned for
 
     std::unordered_map<std::string, model::HostNotes> notes_;
--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -17,7 +17,7 @@
 // there is, a gang with that for all of its tasks only. Every `kLateTurn`th lease is for those that are later still.
 constexpr double kGangWaitedLeases = 5, kGangPart = 0.7;
 constexpr double kWaitedLeases = 7, kWaitedPart = 0.25;
-constexpr double kBegunLeases = 10;  // an array that has begun, for what is left of it
+constexpr double kBegunLeases = 15;  // an array that has begun, for what is left of it
 constexpr double kLateLeases = 8;
 constexpr std::int64_t kLateTurn = 4;
 
@@ -78,11 +78,12 @@
         };
         return key(a) < key(b);
     });
-    double next = waitedNextS_;
+    auto next = waitedNextS_;
     for (Queued* q : waiting) {
-        if (next > now.steady) break;
+        if (next[""] > now.steady) break;
+        if (next[q->job->spec->crew] > now.steady) continue;
         q->waited = true;
-        next = std::max(next, now.steady) + waited_cost(*q, q->job->open());
+        spend_waited(next, *q, q->job->open(), now);
     }
     std::stable_partition(queue.begin(), queue.end(), [](const Queued& q) { return q.waited; });
 }
@@ -100,21 +101,22 @@
            fits(team->gpusMax, used->second.total.gpus, s.gpus);
 }
 
-// What is scarce turns over once in about a run time, be it the machines or what the team may use: what so many tasks
-// of this job take of it is their part of what gets free in so many seconds. Counted by the machines alone,
-// long-waiting jobs of a team at its limit took all of that limit, and none of its others was in time.
-double Core::waited_cost(const Queued& q, std::uint32_t tasks) const {
+// What is scarce turns over once in about a run time, be it the machines or what a team may use: what so many tasks of
+// this job take of each is their part of what gets free in so many seconds. Counted by the machines alone, long-waiting
+// jobs of a team at its limit took all of that limit, and none of its others was in time.
+void Core::spend_waited(std::map<std::string, double>& next, const Queued& q, std::uint32_t tasks, Moment now) const {
     const wire::JobSpec& s = *q.job->spec;
-    double share = q.share * tasks / q.job->open();
-    if (const app::Team* team = settings_.team(s.crew)) {
-        if (team->cpusMax > 0) share = std::max(share, s.cores * tasks / team->cpusMax);
-        if (team->gpusMax > 0) share = std::max(share, s.gpus * tasks / team->gpusMax);
-    }
-    return share * s.expectS / (q.job->wide_gang() ? kGangPart : kWaitedPart);
-}
-
-void Core::note_waited_start(const Queued& q, std::uint32_t tasks, Moment now) {
-    waitedNextS_ = std::max(waitedNextS_, now.steady) + waited_cost(q, tasks);
+    double turnover = s.expectS / (q.job->wide_gang() ? kGangPart : kWaitedPart);
+    auto spend = [&](const std::string& whose, double share) {
+        double& at = next[whose];
+        at = std::max(at, now.steady) + share * turnover;
+    };
+    spend("", q.share * tasks / q.job->open());
+    const app::Team* team = settings_.team(s.crew);
+    double ofTeam = 0;
+    if (team && team->cpusMax > 0) ofTeam = std::max(ofTeam, s.cores * tasks / team->cpusMax);
+    if (team && team->gpusMax > 0) ofTeam = std::max(ofTeam, s.gpus * tasks / team->gpusMax);
+    spend(s.crew, ofTeam);
 }
 
 // By when users want such a job to be over, in seconds from its submission, dearest first.
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -273,7 +273,7 @@
         }
         if (gang && whole.tasks.size() == s.steps) plan.starts.push_back(std::move(whole));
         teamRoom = {teamRoom.cores - started * s.cores, teamRoom.gpus - started * s.gpus, teamRoom.ramGb};
-        if (q.waited && started > 0 && act) note_waited_start(q, started, now);
+        if (q.waited && started > 0 && act) spend_waited(waitedNextS_, q, started, now);
         if (started < r.count) plan.unmet.push_back({&job, r.count - started, q.beyond, soonest});
         if (auto it = reservations_.find(job.id); it != reservations_.end()) {
             if (started == r.count)
