Hints are sorted where they are made, too; a query that made room says so; one way to rearrange the queue

Found on re-reading the whole change; decisions stay as they were. Channels::busy closed connections although its name only asks; it is make_ready now. Both overload orders permuted the queue by a loop of their own.

--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -716,6 +716,7 @@
         HostRecord* h = view_->host(name);
         if (kept_here(h) && !usable(*h, now)) hint.unusable.push_back({name, n.deaf()});
     }
+    hint.sort();
     return hint;
 }
 
--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -21,6 +21,14 @@
 constexpr double kLateLeases = 8;
 constexpr std::int64_t kLateTurn = 4;
 
+// What stands at these places of the queue, in this order.
+template <typename T>
+void rearrange(std::vector<T>& queue, const std::vector<std::size_t>& places, const std::vector<std::size_t>& order) {
+    std::vector<T> sorted;
+    for (std::size_t k : order) sorted.push_back(queue[places[k]]);
+    for (std::size_t k = 0; k < places.size(); ++k) queue[places[k]] = sorted[k];
+}
+
 }  // namespace
 
 // A job is within its team's guarantee if it fits into it together with the team's earlier unfinished jobs.
@@ -145,6 +153,7 @@
     for (std::size_t first = 0, last; first < queue.size(); first = last) {
         std::vector<placement::DueJob> jobs;
         std::vector<const placement::RoomCurve*> room;
+        std::vector<std::size_t> places;
         double wanted = ahead;
         bool lacking = false;
         for (last = first;
@@ -156,12 +165,12 @@
             if (at == rooms.end())
                 at = rooms.try_emplace(s.lane, placement::RoomCurve(machines, request_of(*q.job), now.wall)).first;
             room.push_back(&at->second);
+            places.push_back(last);
             q.share = at->second.all() ? static_cast<double>(q.job->open()) / at->second.all() : 0;
             double waited = now.wall - static_cast<double>(q.job->atS);
             placement::DueJob d{q.share, 0, due_times(s, q.beyond)};
-            for (double& due : d.due) due -= s.expectS;
-            d.due.push_back(kGangWaitedLeases * settings_.leaseS);
-            for (double& due : d.due) due -= waited;
+            for (double& due : d.due) due -= s.expectS + waited;  // to start by
+            d.due.push_back(kGangWaitedLeases * settings_.leaseS - waited);
             jobs.push_back(std::move(d));
             wanted += q.share;
             lacking = lacking || wanted > at->second.within(0);
@@ -169,9 +178,7 @@
         if (lacking && jobs.size() > 1) {
             auto order = placement::order_by_due(
                 jobs, [&](std::size_t job, double due) { return room[job]->within(due); }, ahead);
-            std::vector<Queued> sorted;
-            for (std::size_t k : order) sorted.push_back(queue[first + k]);
-            std::copy(sorted.begin(), sorted.end(), queue.begin() + static_cast<std::ptrdiff_t>(first));
+            rearrange(queue, places, order);
         }
         ahead = wanted;
     }
@@ -209,9 +216,7 @@
         }
         if (limit <= 0 || wanted <= limit) continue;
         auto order = placement::order_by_due(jobs, [&](std::size_t, double due) { return limit * due; });
-        std::vector<Queued> sorted;
-        for (std::size_t k : order) sorted.push_back(queue[places[k]]);
-        for (std::size_t k = 0; k < places.size(); ++k) queue[places[k]] = sorted[k];
+        rearrange(queue, places, order);
     }
 }
 
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -405,7 +405,7 @@
 
 void Service::send_commands() {
     for (auto& [host, orders] : core_.commands_due(now())) {
-        if (channels_.busy(host)) continue;
+        if (!channels_.make_ready(host)) continue;
         auto* h = core_.view().host(host);
         auto* n = core_.notes(host);
         core_.commands_sent(host, orders, now());
--- a/src/peers/packet.cpp
+++ b/src/peers/packet.cpp
@@ -56,8 +56,7 @@
         std::memcpy(&e, bytes.data() + sizeof h + i * sizeof e, sizeof e);
         hint.unusable.push_back({get_text(e.name), e.deaf != 0});
     }
-    std::sort(hint.unusable.begin(), hint.unusable.end(),
-              [](const UnusableHost& a, const UnusableHost& b) { return a.name < b.name; });
+    hint.sort();  // whatever the sender did
     return hint;
 }
 
--- a/src/peers/packet.hpp
+++ b/src/peers/packet.hpp
@@ -47,6 +47,9 @@
     bool live = false;
     std::vector<UnusableHost> unusable;  // by name: plans ask for each machine, and a dark zone lists hundreds
 
+    void sort() {
+        std::sort(unusable.begin(), unusable.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
+    }
     const UnusableHost* find(const std::string& host) const {
         auto it = std::lower_bound(unusable.begin(), unusable.end(), host,
                                    [](const UnusableHost& u, const std::string& name) { return u.name < name; });
--- a/src/workers/channel.cpp
+++ b/src/workers/channel.cpp
@@ -7,16 +7,16 @@
 
 // Room is made for a host's channel here: a kept connection to each of a thousand machines, beside those on which they
 // report, would be more sockets than there are.
-bool Channels::busy(const std::string& host) {
+bool Channels::make_ready(const std::string& host) {
     auto it = channels_.find(host);
-    if (it != channels_.end()) return it->second.busy;
-    if (channels_.size() < most_) return false;
+    if (it != channels_.end()) return !it->second.busy;
+    if (channels_.size() < most_) return true;
     auto oldest = channels_.end();
     for (auto c = channels_.begin(); c != channels_.end(); ++c)
         if (!c->second.busy && (oldest == channels_.end() || c->second.used < oldest->second.used)) oldest = c;
-    if (oldest == channels_.end()) return true;
+    if (oldest == channels_.end()) return false;
     channels_.erase(oldest);
-    return false;
+    return true;
 }
 
 asio::awaitable<CommandResult> Channels::command(std::string host, std::string address, std::uint64_t baton,
--- a/src/workers/channel.hpp
+++ b/src/workers/channel.hpp
@@ -22,8 +22,8 @@
   public:
     // `most`: connections at a time; beyond that the one that was used longest ago is closed.
     Channels(asio::io_context& io, std::size_t most) : io_(io), most_(most) {}
-    // A command is under way there, or no connection can be had for one.
-    bool busy(const std::string& host);
+    // A command can be sent there now: none is under way, and there is a connection for it, made room for if need be.
+    bool make_ready(const std::string& host);
     asio::awaitable<CommandResult> command(std::string host, std::string address, std::uint64_t baton,
                                            std::uint64_t tenure, std::vector<wire::Order> orders, double timeoutS);
     // Drops the channels of hosts that are not to be kept, unless a command is under way there.
