--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -441,9 +441,30 @@
     return true;
 }
 
+bool Core::cancelled(const std::string& id) const {
+    if (const auto* f = view_->final(id)) return f->state == JobState::aborted;
+    const Job* job = view_->job(id);
+    return job && job->state == JobState::withdrawn;
+}
+
+// Of a cancelled task whose start has been sent and which no report shows: the start may reach the machine still, and
+// the halt behind it then ends the task at once.
+void Core::add_blind_halts(const HostRecord& h, const HostNotes& n, std::vector<wire::Order>& all) const {
+    for (const StepRef& ref : h.placed) {
+        if (ref.job->state != JobState::withdrawn) continue;
+        TaskKey key{ref.job->id, ref.index};
+        std::uint32_t attempt = ref.job->step(ref.index, view_->chunk_size()).attempt;
+        auto sent = n.starts.find(key);
+        if (sent == n.starts.end() || sent->second.attempt != attempt || sent->second.seen || n.tasks.count(key))
+            continue;
+        all.push_back({wire::Verb::halt, key.first, key.second, attempt, 0});
+    }
+}
+
 std::vector<std::pair<std::string, std::vector<wire::Order>>> Core::commands_due(Moment now) {
     std::vector<std::pair<std::string, std::vector<wire::Order>>> out;
-    if (member_ != MemberState::live) return out;
+    if (!viewReady_) return out;
+    const bool live = member_ == MemberState::live;
     for (auto it = due_.begin(); it != due_.end();) {
         const std::string name = *it;
         HostRecord* h = view_->host(name);
@@ -458,8 +479,14 @@
             continue;
         }
         ++it;
-        if (n->state != HostState::fenced || n->address.empty() || n->gaps) continue;
+        if (n->address.empty()) continue;
         auto all = orders(name, true, now);
+        // The end of a cancelled task waits for nothing: no store, no fresh report, no confirmed baton. A machine that
+        // obeys a newer keeper refuses it, one that hangs finds it when it goes on. Everything else needs all three.
+        if (!live || n->state != HostState::fenced || n->gaps) {
+            std::erase_if(all, [&](const wire::Order& o) { return o.verb != wire::Verb::halt || !cancelled(o.job); });
+            add_blind_halts(*h, *n, all);
+        }
         bool urgent = false;
         for (const wire::Order& o : all) {
             urgent = urgent || o.verb == wire::Verb::start;
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -146,6 +146,8 @@
     const std::string& preferred(const model::HostRange& range) const;
     model::GangState gang_state(const model::Job& job) const;
     bool stopping(const model::Job& job, const model::Step& step) const;
+    bool cancelled(const std::string& id) const;
+    void add_blind_halts(const model::HostRecord& h, const model::HostNotes& n, std::vector<wire::Order>& all) const;
     bool kept_here(const model::HostRecord* h) const;
     bool usable(const model::HostRecord& h, Moment now) const;
     void on_step(model::Job& job, std::uint32_t index, const model::Step& before, const model::Step& after);
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -149,6 +149,7 @@
     model::Heard h;
     h.registered = core_.member_stamp() != 0;
     h.storeAgeS = t - store_.last_ok();
+    h.contactAgeS = t - contactS_;
     h.hasPeers = !settings_.members.empty();
     h.peerHeard = core_.peer_heard(now());
     h.peerHasStore = core_.peer_has_store(now());
@@ -224,6 +225,7 @@
         moved = true;
     }
     core_.view().advance(r.epoch);
+    contactS_ = std::max(contactS_, r.sentS);
     if (moved) {
         core_.touch();
         work_.notify();
@@ -233,6 +235,7 @@
 
 asio::awaitable<bool> Service::load() {
     core_.reset_view();
+    ++loads_;
     double wall = net::wall_now();
     // Pages are read one after the other: the watch replays from the first one's revision, and the view counts as
     // ready once it has caught up with the last one's.
@@ -241,11 +244,11 @@
     });
     if (!range) co_return false;
     core_.view().advance(range->first);
-    while (core_.view().epoch() < range->second) {
+    do {  // once at least: this is the read that the contact is dated by
         auto r = co_await store_.follow(keys::kPrefix, core_.view().epoch(), 0, kStoreTimeoutS);
         if (r.kind != store::FollowResult::ok) co_return false;
         apply(r);
-    }
+    } while (core_.view().epoch() < range->second);
     core_.set_view_ready(true);
     changed_.notify();
     spdlog::info("read the state at revision {}: {} open jobs, {} hosts", core_.view().epoch(),
@@ -262,12 +265,13 @@
             continue;
         }
         double began = net::steady_now();
+        const std::uint64_t loads = loads_;
         auto r = co_await store_.follow(keys::kPrefix, core_.view().epoch(), 5, 6.5);
         if (r.kind == store::FollowResult::gone) {
             core_.set_view_ready(false);
             continue;
         }
-        if (r.kind == store::FollowResult::ok) apply(r);
+        if (r.kind == store::FollowResult::ok && loads == loads_) apply(r);
         double took = net::steady_now() - began;
         if (r.kind != store::FollowResult::ok)
             co_await net::sleep_for(io_, net::jitter(0.2));
@@ -282,14 +286,17 @@
     for (;;) {
         if (barrierWanted_ <= std::max(barrierOk_, barrierFailed_)) {
             co_await barrierAsked_.wait(0.5);
-            // Also a sign of life when nobody asks: the watch alone would not notice a store that is gone.
-            if (barrierWanted_ <= std::max(barrierOk_, barrierFailed_) && net::steady_now() - store_.last_ok() < 0.5)
-                continue;
+            // Also for the contact when nobody asks: the watch alone would not notice a store that is gone.
+            if (barrierWanted_ <= std::max(barrierOk_, barrierFailed_) && net::steady_now() - contactS_ < 0.5) continue;
         }
         double began = net::steady_now();
         std::uint64_t mine = barrierStarted_ = barrierWanted_;
         if (core_.view_ready()) {
+            // While the state is being read anew, the answer to a question from before must not be applied: its
+            // revision would pass for that of pages that are still on their way.
+            const std::uint64_t loads = loads_;
             auto r = co_await store_.follow(keys::kPrefix, core_.view().epoch(), 0, kStoreTimeoutS);
+            if (loads != loads_) r.kind = store::FollowResult::failed;
             if (r.kind == store::FollowResult::ok) {
                 apply(r);
                 barrierOk_ = mine;
@@ -385,10 +392,11 @@
                     core_.touch_all();
                 }
             }
-            began = net::steady_now();
-            send_commands();
-            cost += net::steady_now() - began;
         }
+        // In any standing: what is known to be cancelled is stopped in an outage as well.
+        began = net::steady_now();
+        send_commands();
+        cost += net::steady_now() - began;
         // Under load rounds come further apart, and each takes more with it.
         co_await net::sleep_for(io_, std::clamp(3 * cost, 0.01, settings_.reportS / 6));
     }
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -87,6 +87,8 @@
     std::deque<OpPtr> ops_;
     std::uint64_t asks_ = 0;
     double adriftSince_ = 0;
+    double contactS_ = -1e9;   // when the last read of the state that was applied was sent
+    std::uint64_t loads_ = 0;  // how often the state has been read anew: an answer from before is not applied
     peers::Hint hint_;
     double hintAt_ = -1e9;
     double readFailedSince_ = 0;  // the first of the reads that have failed in a row; 0: the last succeeded
--- a/src/model/standing.cpp
+++ b/src/model/standing.cpp
@@ -6,9 +6,20 @@
 constexpr double kSilentS = 1.5;  // "usually under 10 ms, occasionally a few hundred"
 constexpr double kApartS = 1.0;   // without store and peers: then unhealthy
 constexpr double kMuteS = 4.0;    // live, but no read of the state succeeds: then unhealthy
+// Of a lease and of cancel_s: two steady clocks drift apart by 0.05%, twice that is certain.
+constexpr double kDrift = 1.001;
+// Timers fire late, standing is judged four times a second, and what is judged may be sent a moment later.
+constexpr double kLateS = 1.0;
 }  // namespace
 
+double answers_for(const StandingLimits& l) {
+    return l.cancelS / kDrift - l.leaseS * kDrift - kLateS;
+}
+
 MemberState judge(MemberState now, const Heard& h, const StandingLimits& l) {
+    // Before all else, whatever the service answers to other requests, whatever the peers say, from whichever state:
+    // renewals and commits can be served while reads fail or hang, and orders come from what was read.
+    if (h.contactAgeS > answers_for(l)) return now == MemberState::joining ? now : MemberState::alone;
     bool silent = h.storeAgeS > kSilentS;
     if (!silent && h.registered) return MemberState::live;
     if (now == MemberState::joining) return MemberState::joining;
@@ -16,9 +27,7 @@
     // The state service answers others: it is us.
     if (h.peerHasStore) return MemberState::alone;
     // It may be an outage that everybody has, or we may have lost the other controllers, too; that cannot be told
-    // apart. Our machines are answered, but no longer than a withdrawal told elsewhere allows: a machine that we stop
-    // answering now ends its tasks when its lease is over, which must be within cancel_s.
-    if (h.storeAgeS > l.cancelS - l.leaseS * 1.01 - 1) return MemberState::alone;
+    // apart. Our machines are answered for as long as the contact allows.
     return MemberState::adrift;
 }
 
--- a/src/model/standing.hpp
+++ b/src/model/standing.hpp
@@ -7,7 +7,8 @@
 
 struct Heard {
     bool registered = false;    // our member key stands, as far as we have seen
-    double storeAgeS = 0;       // since the state service last answered us
+    double storeAgeS = 0;       // since the state service last answered us, whatever it was asked
+    double contactAgeS = 0;     // since a read of the state was sent that has been applied in full
     bool hasPeers = false;      // there are other controllers
     bool peerHeard = false;     // one of them has spoken to us a moment ago
     bool peerHasStore = false;  // and says that the state service answers it
@@ -19,6 +20,12 @@
     double cancelS = 0, leaseS = 0;
 };
 
+// For so long after the last contact a controller may answer machines. A cancellation that it does not know of was
+// confirmed after that contact; a machine answered now may go on for one lease more, by its own clock, and the task
+// must then be gone within cancel_s of the confirmation. The lease counts from when the report was sent, so an answer
+// that is held on the way adds nothing.
+double answers_for(const StandingLimits& limits);
+
 MemberState judge(MemberState now, const Heard& heard, const StandingLimits& limits);
 bool healthy(MemberState now, bool viewReady, const Heard& heard, const StandingLimits& limits);
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -101,6 +101,7 @@
 asio::awaitable<FollowResult> Client::follow(const std::string& prefix, std::uint64_t since, double waitS,
                                              double timeoutS) {
     FollowResult out;
+    out.sentS = net::steady_now();
     std::string target = "/follow?prefix=" + prefix + "&since=" + std::to_string(since) +
                          "&waitMs=" + std::to_string(static_cast<int>(waitS * 1000));
     net::Reply r = co_await call(net::verb::get, std::move(target), "", timeoutS, waitS > 0);
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -45,6 +45,7 @@
     enum Kind { ok, gone, failed } kind = failed;
     std::uint64_t epoch = 0;
     std::vector<Change> news;
+    double sentS = -1e9;  // steady time at which it was asked for: what it tells is no older than that
 };
 
 class Client {
@@ -60,7 +61,7 @@
     enum class Renewal { renewed, ended, failed };
     asio::awaitable<Renewal> renew(std::uint64_t hold, double timeoutS);
 
-    double last_ok() const { return lastOk_; }  // steady time of the last served request, as it was sent
+    double last_ok() const { return lastOk_; }  // steady time of the last served request of any kind, as it was sent
     Budget& writes() { return writes_; }
 
   private:
--- a/tests/standing_test.cpp
+++ b/tests/standing_test.cpp
@@ -12,7 +12,7 @@
 Heard heard(double storeAgeS, bool peerHeard, bool peerHasStore) {
     Heard h;
     h.registered = h.hasPeers = true;
-    h.storeAgeS = storeAgeS, h.peerHeard = peerHeard, h.peerHasStore = peerHasStore;
+    h.storeAgeS = h.contactAgeS = storeAgeS, h.peerHeard = peerHeard, h.peerHasStore = peerHasStore;
     return h;
 }
 
@@ -43,6 +43,41 @@
     EXPECT_EQ(judge(MemberState::alone, heard(0.1, true, true), kLimits), MemberState::live);
 }
 
+// Whatever else it hears, and whatever it was before: once its last read of the state is too old for a cancellation
+// that it cannot know of to end in time, it answers no machine.
+TEST(Standing, TheContactBoundsEveryStanding) {
+    // cancel_s 45, lease 20, drift and a second for what is late.
+    EXPECT_NEAR(answers_for(kLimits), 23.935, 0.001);
+    struct Row {
+        MemberState before;
+        bool registered;
+        double storeAgeS;
+        bool peerHasStore;
+        MemberState inside, outside;
+    };
+    using enum MemberState;
+    const Row rows[] = {
+        {live, true, 0.1, true, live, alone},  // renewals are served, reads are not
+        {live, true, 0.1, false, live, alone},
+        {live, false, 0.1, true, adrift, alone},  // the member key is gone, too
+        {live, true, 5, false, adrift, alone},
+        {adrift, true, 5, false, adrift, alone},
+        {adrift, false, 5, false, adrift, alone},
+        {alone, true, 5, false, adrift, alone},  // refused alone, then an outage that everybody has
+        {alone, false, 0.1, false, alone, alone},
+        {alone, true, 5, true, alone, alone},
+        {joining, true, 5, false, joining, joining},  // answers nobody either
+    };
+    for (const Row& r : rows) {
+        Heard h = heard(r.storeAgeS, true, r.peerHasStore);
+        h.registered = r.registered;
+        h.contactAgeS = answers_for(kLimits) - 0.01;
+        EXPECT_EQ(judge(r.before, h, kLimits), r.inside) << &r - rows;
+        h.contactAgeS = answers_for(kLimits) + 0.01;
+        EXPECT_EQ(judge(r.before, h, kLimits), r.outside) << &r - rows;
+    }
+}
+
 // A controller by itself cannot be apart from others.
 TEST(Standing, TheOnlyControllerStaysHealthyInAnOutage) {
     Heard h = heard(5, false, false);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -3,6 +3,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "model/standing.hpp"
+
 namespace wellstair::test {
 
 using controller::Admission;
@@ -76,6 +78,8 @@
 }
 
 void World::sync(Controller& c) {
+    if (c.refused) return;
+    c.contactS = c.servedS = time_;
     auto& view = c.core->view();
     for (const auto& change : store_.log)
         if (change.stamp > view.epoch())
@@ -86,6 +90,7 @@
 
 std::string World::commit(Controller& c, const controller::Draft& draft) {
     if (draft.empty()) return "nothing";
+    if (c.refused) return "503";
     auto txn = draft.build();
     std::string result = store_.commit(txn.body);
     if (result.starts_with("ok")) sync(c);
@@ -94,6 +99,23 @@
     return out + (result.starts_with("ok") ? "applied" : result);
 }
 
+// Its standing as the service judges it, with what the other controllers say of the state service.
+std::string World::judge(Controller& c) {
+    if (!c.refused) c.servedS = time_;
+    model::Heard h;
+    h.registered = c.core->member_stamp() != 0;
+    h.storeAgeS = time_ - c.servedS, h.contactAgeS = time_ - c.contactS;
+    for (auto& [name, other] : controllers_) {
+        if (&other == &c || !other.core) continue;
+        h.hasPeers = true;
+        if (!other.refused) other.servedS = time_;
+        c.core->set_hint(other.core->own_hint(time_ - other.servedS, now()), now());
+    }
+    h.peerHeard = c.core->peer_heard(now()), h.peerHasStore = c.core->peer_has_store(now());
+    c.core->set_member_state(model::judge(c.core->member_state(), h, {settings_.cancelS, settings_.leaseS}));
+    return model::MemberTraits::name(c.core->member_state());
+}
+
 namespace {
 
 std::string show(const std::vector<wire::Order>& orders) {
@@ -202,6 +224,10 @@
         store_.commit({{"when", Json::array()}, {"apply", {{{"remove", "ws/members/" + name}}}}});
         return "";
     }
+    if (verb == "outage" || verb == "outage-over") {
+        for (auto& [each, c] : controllers_) c.refused = verb == "outage";
+        return "";
+    }
     in >> name;
     if (verb == "join") {  // a new process under this name
         Controller& c = at(name);
@@ -218,6 +244,22 @@
     controller::Core& core = *c.core;
     std::string arg;
     if (verb == "sync") return sync(c), "";
+    if (verb == "refuse") return c.refused = true, "";
+    if (verb == "serve") return c.refused = false, "";
+    if (verb == "serve-no-reads") {  // renewals and commits are answered, reads hang
+        c.servedS = time_;
+        return "";
+    }
+    if (verb == "judge") return judge(c);
+    if (verb == "due") {  // what goes straight to hosts now, of all that the controller keeps; no answers yet
+        std::string out;
+        for (auto& [host, orders] : core.commands_due(now())) {
+            core.commands_sent(host, orders, now());
+            c.sent[host] = orders;
+            out += (out.empty() ? "" : "; ") + host + ": " + show(orders);
+        }
+        return out.empty() ? "nothing" : out;
+    }
     if (verb == "state") {
         in >> arg;
         core.set_member_state(arg == "live"     ? model::MemberState::live
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -45,11 +45,15 @@
         std::unique_ptr<controller::Core> core;
         wire::Json held;                                       // a transaction that has not reached the store yet
         std::map<std::string, std::vector<wire::Order>> sent;  // commands without an answer so far
+        bool refused = false;  // the state service refuses it, alone or as it does everybody
+        double contactS = 0;   // when it last read the state
+        double servedS = 0;    // when the state service last answered it anything
     };
     Controller& at(const std::string& name);
     void sync(Controller& c);
     controller::Moment now() const { return {time_, 1'000'000 + time_}; }
     std::string commit(Controller& c, const controller::Draft& draft);
+    std::string judge(Controller& c);
 
     double time_ = 100;
     app::Settings settings_;
