Machines that hang with a cancelled task go back in time; rests of machines and jobs end

Such a machine is now marked after 0.55 of cancel_s, by the last report or, after a change of keeper, by the time of the withdrawal, which the store keeps now (active/ID, t). Returns go before rentals. Rests doubled up to eight leases for a machine and 64 report intervals for a job: longer than a job may wait beside a free machine. Two leases now.

--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -27,6 +27,10 @@
 // Two steady clocks may drift apart by 0.05%; and the report's sending precedes its arrival, never follows it.
 constexpr double kDrift = 1.002;
 constexpr double kTimerSlackS = 0.1;
+// Leases for which a machine that failed tasks, or a job that failed on several machines, rests at the most. Neither is
+// known to be at fault for ever: rests that double without end outlasted what had caused them by minutes, while the
+// machine was free and the job could have run on any.
+constexpr double kLongestRest = 2;
 
 }  // namespace
 
@@ -74,10 +78,12 @@
     return it != view_->members().end() && it->second.incarnation == incarnation_ ? it->second.stamp : 0;
 }
 
-void Core::set_member_state(MemberState s) {
+void Core::set_member_state(MemberState s, Moment now) {
     MemberState before = member_;
-    if (member_.become(s))
+    if (member_.become(s)) {
+        if (s == MemberState::live) liveSinceS_ = now.steady;
         spdlog::info("member state {} -> {}", model::MemberTraits::name(before), model::MemberTraits::name(s));
+    }
 }
 
 Draft Core::new_draft() {
@@ -289,11 +295,12 @@
         n.failedJobs.insert(key.first);
         // Mostly the machine is faulty; a job that fails on machine after machine is at fault itself.
         if (j.failedOn.size() >= 3) {
-            j.notBeforeS = now.steady + settings_.reportS * std::min(64.0, std::exp2(j.failures - 2));
+            j.notBeforeS =
+                now.steady + std::min(settings_.reportS * std::exp2(j.failures - 2), kLongestRest * settings_.leaseS);
             n.failedJobs.erase(key.first);
             if (n.failedJobs.empty()) n.failures = 0, n.quarantineUntilS = -1e9;
         } else {
-            n.quarantineUntilS = now.steady + settings_.leaseS * std::min(8.0, std::exp2(n.failures - 1));
+            n.quarantineUntilS = now.steady + settings_.leaseS * std::min(kLongestRest, std::exp2(n.failures - 1));
         }
         spdlog::info("step {}/{} failed on {} ({} in a row there, job failed on {} machines)", key.first, key.second,
                      host, n.failures, j.failedOn.size());
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -61,7 +61,7 @@
     void set_view_ready(bool ready) { viewReady_ = ready; }
     bool view_ready() const { return viewReady_; }
     std::uint64_t member_stamp() const;  // 0: this incarnation is not registered
-    void set_member_state(model::MemberState s);
+    void set_member_state(model::MemberState s, Moment now);
     model::MemberState member_state() const { return member_; }
     std::uint64_t incarnation() const { return incarnation_; }
 
@@ -147,6 +147,7 @@
     model::GangState gang_state(const model::Job& job) const;
     bool stopping(const model::Job& job, const model::Step& step) const;
     bool cancelled(const std::string& id) const;
+    bool holds_cancelled(const model::HostRecord& h, const model::HostNotes& n, Moment now) const;
     void add_blind_halts(const model::HostRecord& h, const model::HostNotes& n, std::vector<wire::Order>& all) const;
     bool kept_here(const model::HostRecord* h) const;
     bool usable(const model::HostRecord& h, Moment now) const;
@@ -208,6 +209,7 @@
     std::uint64_t incarnation_;
     std::unique_ptr<model::View> view_;
     bool viewReady_ = false;
+    double liveSinceS_ = -1e9;
     model::StateMachine<model::MemberState, model::MemberTraits> member_{model::MemberState::joining};
     bool dirty_ = true;
     bool planDue_ = true;      // something that placement depends on has changed
--- a/src/controller/draft.cpp
+++ b/src/controller/draft.cpp
@@ -139,12 +139,12 @@
     return true;
 }
 
-bool Draft::withdraw(Job& job) {
+bool Draft::withdraw(Job& job, std::int64_t atS) {
     if (has(keys::active(job.id))) return true;
     if (!room(1, 1, 100)) return false;
     bytes_ += 100;
     when(keys::active(job.id), job.activeStamp);
-    set(keys::active(job.id), {{"o", job.owner}, {"w", true}});
+    set(keys::active(job.id), {{"o", job.owner}, {"w", true}, {"t", atS}});
     about_.push_back("withdraw " + job.id);
     return true;
 }
--- a/src/controller/draft.hpp
+++ b/src/controller/draft.hpp
@@ -26,7 +26,7 @@
     // transaction: what would write it again (a user's repeat in the same batch, a second reason to return a machine)
     // is covered by the first and returns true.
     bool submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS);
-    bool withdraw(model::Job& job);
+    bool withdraw(model::Job& job, std::int64_t atS);
     bool stop_attempt(model::Job& job, std::uint32_t attempt);
     // All of one gang, or single tasks; `hosts` are those it is to run on.
     bool place(model::Job& job, const std::vector<std::pair<std::uint32_t, model::HostRecord*>>& tasks,
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -522,6 +522,28 @@
     return out;
 }
 
+// A machine that hangs does nothing and may go on with what it has: whether its worker counts the lease meanwhile is
+// not ours to know. If it has a cancelled task, the cloud's word has to come before cancel_s is over. Half of that is
+// longer than a machine that is well is ever quiet, and leaves the cloud's role to change hands and the call to be
+// repeated.
+bool Core::holds_cancelled(const HostRecord& h, const HostNotes& n, Moment now) const {
+    constexpr double kPart = 0.55;
+    // Back from an outage, all machines have been quiet for as long: they are given time to report.
+    if (now.steady - liveSinceS_ < 3 * settings_.reportS) return false;
+    if (n.state == HostState::silent || n.state == HostState::expired)
+        // Cancelled after its last report, or it would have ended the task on the answer to that.
+        return now.steady - n.lastReportS > kPart * settings_.cancelS &&
+               std::any_of(n.tasks.begin(), n.tasks.end(), [&](const auto& t) {
+                   return t.second.phase != wire::TaskPhase::ended && cancelled(t.first.first);
+               });
+    // Taken over from another keeper, and it has not been heard here: what it holds is known by the store alone.
+    return n.state == HostState::kept && now.steady - n.unconfirmedS > 2 * settings_.reportS &&
+           std::any_of(h.placed.begin(), h.placed.end(), [&](const StepRef& ref) {
+               return ref.job->state == model::JobState::withdrawn &&
+                      now.wall - static_cast<double>(ref.job->withdrawnAtS) > kPart * settings_.cancelS;
+           });
+}
+
 void Core::propose_returns(Draft& draft, Moment now) {
     if (now.steady - returnsS_ < settings_.reportS / 4) return;
     returnsS_ = now.steady;
@@ -531,12 +553,14 @@
     // Since when a gang has surely noticed that a task's machine is gone.
     double noticed = kSilentReports * settings_.reportS + settings_.gangPeerS;
     std::map<const model::HostRange*, std::pair<std::size_t, std::size_t>> quietOf;  // of how many
+    std::size_t quietHere = 0, allHere = 0;
     for (auto& [name, n] : notes_) {
         HostRecord* h = view_->host(name);
         if (!kept_here(h) || h->leaves()) continue;
         auto& [quiet, all] = quietOf[h->range];
         quiet += silent(n, now);
-        ++all;
+        quietHere += silent(n, now);
+        ++all, ++allHere;
     }
     for (auto& [name, n] : notes_) {
         HostRecord* h = view_->host(name);
@@ -556,9 +580,15 @@
         bool holdsUp =
             now.steady - n.lastReportS > noticed && 3 * quiet <= all &&
             std::any_of(h->placed.begin(), h->placed.end(), [](const StepRef& ref) { return ref.job->wide_gang(); });
-        if (faulty || lost || deaf || holdsUp) {
-            bool saves = faulty || deaf;
-            const char* why = faulty ? "faulty" : lost ? "lost" : deaf ? "deaf" : "silent, holds up a gang";
+        // Where half of all is silent, it is rather this controller that is cut off, and others take them over.
+        bool cancelled = 2 * quietHere < allHere && holds_cancelled(*h, n, now);
+        if (faulty || lost || deaf || holdsUp || cancelled) {
+            bool saves = (faulty || deaf) && !cancelled;
+            const char* why = faulty    ? "faulty"
+                              : lost    ? "lost"
+                              : deaf    ? "deaf"
+                              : holdsUp ? "silent, holds up a gang"
+                                        : "silent, holds a cancelled task";
             if (!draft.mark_return(name, h->hall, saves ? at : lostAt, false, why)) return;
         }
     }
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -167,7 +167,7 @@
 void Service::judge_standing() {
     MemberState next = model::judge(core_.member_state(), heard(), {settings_.cancelS, settings_.leaseS});
     if (next == MemberState::adrift && core_.member_state() != MemberState::adrift) adriftSince_ = net::steady_now();
-    core_.set_member_state(next);
+    core_.set_member_state(next, now());
 }
 
 asio::awaitable<void> Service::membership() {
@@ -462,7 +462,7 @@
                 auto* job = core_.view().job(op->id);
                 if (!job || job->state != model::JobState::active)
                     op->answer = core_.poll(op->id);
-                else if (draft.withdraw(*job))
+                else if (draft.withdraw(*job, static_cast<std::int64_t>(net::wall_now())))
                     batch.push_back(op);
                 else
                     rest.push_back(op);
@@ -645,6 +645,16 @@
                 core_.set_machines(std::move(*list), now());
             }
         }
+        // First what goes: the return of a machine that hangs with a cancelled task has a deadline, renting has none.
+        auto due = core_.returns_due(now());
+        bool gone = false;
+        if (!due.empty()) gone = co_await cloud_.give_back(due);
+        if (gone) {
+            spdlog::info("returned {} machines, first {}", due.size(), due.front());
+            Draft d = core_.new_draft();
+            core_.mark_gone(d, due, now());
+            co_await apply_draft(std::move(d));
+        }
         // One request at a time, and a new look after each: what one kind cannot give, the next may.
         core_.plan_rentals(now());
         for (int calls = 0; calls < 12; ++calls) {
@@ -664,15 +674,6 @@
             if (r.kind == cloud::RentResult::refused) core_.refused(o, now());
             if (r.kind == cloud::RentResult::failed) break;
         }
-        auto due = core_.returns_due(now());
-        if (due.empty()) continue;
-        bool gone = co_await cloud_.give_back(due);
-        if (gone) {
-            spdlog::info("returned {} machines, first {}", due.size(), due.front());
-            Draft d = core_.new_draft();
-            core_.mark_gone(d, due, now());
-            co_await apply_draft(std::move(d));
-        }
     }
 }
 
--- a/src/model/view.cpp
+++ b/src/model/view.cpp
@@ -299,7 +299,10 @@
     job.activeStamp = stamp;
     job.owner = data->value("o", "");
     job.stopAttempt = data->value("stop", 0u);
-    if (data->value("w", false)) job.state.become(JobState::withdrawn);
+    if (data->value("w", false)) {
+        job.state.become(JobState::withdrawn);
+        job.withdrawnAtS = data->value("t", std::int64_t{0});
+    }
     if (fresh && job.spec) enqueue(job);
     if (on_stop && job.spec && (job.state == JobState::withdrawn || job.stopAttempt)) on_stop(job);
 }
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -63,6 +63,7 @@
     std::int64_t atS = 0;     // time of day of the submission
     std::string owner;
     std::uint32_t stopAttempt = 0;  // gang: this attempt is being stopped in an orderly way
+    std::int64_t withdrawnAtS = 0;  // time of day, not later than the confirmation to the user
     std::vector<Chunk> chunks;
     std::uint32_t done = 0, placed = 0;
 
--- a/tests/mixed_troubles_test.cpp
+++ b/tests/mixed_troubles_test.cpp
@@ -219,7 +219,7 @@
         auto* job = n.core->view().job(it->first);
         if (!job || job->state != model::JobState::active) return;
         auto draft = n.core->new_draft();
-        draft.withdraw(*job);
+        draft.withdraw(*job, static_cast<std::int64_t>(moment().wall));
         it->second.asked = true;
         if (commit(n, draft)) it->second.withdrawn = now_;
     }
@@ -304,7 +304,7 @@
         model::Heard h;
         h.registered = n.core->member_stamp() != 0, h.storeAgeS = now_ - n.lastStore, h.hasPeers = true;
         h.peerHeard = n.core->peer_heard(moment()), h.peerHasStore = n.core->peer_has_store(moment());
-        n.core->set_member_state(model::judge(n.core->member_state(), h, {45, 20}));
+        n.core->set_member_state(model::judge(n.core->member_state(), h, {45, 20}), moment());
         n.core->tick(moment());
         if (!store) return;
         if (n.core->member_state() != model::MemberState::live) return;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -58,7 +58,7 @@
     put(core.view().range_of("n-1", "a").key, model::View::encode_range({entry}));
     sync();
     core.set_view_ready(true);
-    core.set_member_state(model::MemberState::live);
+    core.set_member_state(model::MemberState::live, {});
 
     wire::JobSpec spec;
     spec.ref = "j-1", spec.lane = "work", spec.crew = "blue", spec.bundle = "img";
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -112,7 +112,7 @@
         c.core->set_hint(other.core->own_hint(time_ - other.servedS, now()), now());
     }
     h.peerHeard = c.core->peer_heard(now()), h.peerHasStore = c.core->peer_has_store(now());
-    c.core->set_member_state(model::judge(c.core->member_state(), h, {settings_.cancelS, settings_.leaseS}));
+    c.core->set_member_state(model::judge(c.core->member_state(), h, {settings_.cancelS, settings_.leaseS}), now());
     return model::MemberTraits::name(c.core->member_state());
 }
 
@@ -237,7 +237,7 @@
                        {"apply", {{{"set", "ws/members/" + name}, {"data", {{"inc", incarnations_}}}}}}});
         sync(c);
         c.core->set_view_ready(true);
-        c.core->set_member_state(model::MemberState::live);
+        c.core->set_member_state(model::MemberState::live, now());
         return "";
     }
     Controller& c = at(name);
@@ -264,7 +264,8 @@
         in >> arg;
         core.set_member_state(arg == "live"     ? model::MemberState::live
                               : arg == "adrift" ? model::MemberState::adrift
-                                                : model::MemberState::alone);
+                                                : model::MemberState::alone,
+                              now());
         return "";
     }
     if (verb == "submit") {
@@ -283,7 +284,7 @@
         auto* job = core.view().job(arg);
         if (!job || job->state != model::JobState::active) return show(core.poll(arg));
         auto draft = core.new_draft();
-        draft.withdraw(*job);
+        draft.withdraw(*job, static_cast<std::int64_t>(now().wall));
         return commit(c, draft);
     }
     if (verb == "poll") {  // reads up to this moment, as every poll does
