The mixed world plays every meeting; room kept for others may not hold a job for minutes

Added to the world: machines that hang or are mute, zones (cut off with a controller inside, jobs bound to one, scatter), types, spot machines, a slow store, member leases that run out, refusal alone before an outage, cancellations of running jobs and at the last task's end, questions and repeats, late transactions at 25%. A job that only kept room holds back ignores it after two leases.

--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -250,6 +250,13 @@
         double notBeforeS = -1e9;
     };
     std::unordered_map<std::string, JobNotes> jobNotes_;
+    // Jobs that would run but for room kept for others: since when. Kept room is a courtesy, and may not cost a job
+    // more than two leases.
+    std::unordered_map<std::string, double> heldBackS_;
+    bool held_back_too_long(const std::string& id, Moment now) const {
+        auto it = heldBackS_.find(id);
+        return it != heldBackS_.end() && now.steady - it->second > 2 * settings_.leaseS;
+    }
     // Foreign hosts on which a planned start does not happen: since when.
     std::unordered_map<std::string, double> doubts_;
 
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -203,10 +203,19 @@
         u.lastS = now.steady;
     }
     std::erase_if(urgent_, [&](const auto& e) { return now.steady - e.second.lastS > 10 * settings_.leaseS; });
+    const std::map<std::string, Need> unused = room;  // before this plan's starts
     if (act) nextTurnS_ = 1e18;
     // Promises are made to the first of the queue only, as many as a plan may cost; behind them, tasks start where they
     // disturb no promise.
-    std::set<std::string> spared;  // lanes for which room has been left
+    std::set<std::string> spared;                            // lanes for which room has been left
+    std::vector<std::pair<std::uint32_t, Need>> sparedRoom;  // what was free there: kind of machine, room
+    std::unordered_map<std::string, double> heldBack;
+    auto hold_back = [&](const Job& job) {
+        auto it = heldBackS_.find(job.id);
+        heldBack[job.id] = it == heldBackS_.end() ? now.steady : it->second;
+    };
+    bool spare = std::none_of(heldBackS_.begin(), heldBackS_.end(),
+                              [&](const auto& e) { return held_back_too_long(e.first, now); });
     std::vector<std::uint32_t> open;
     for (const Queued& q : ordered_queue(planner.machines(), now)) {
         Job& job = *q.job;
@@ -214,14 +223,23 @@
         // Before lower ranks take what is free, room is left for what higher ranks usually ask for within two reports:
         // making room only then costs a wind-down.
         for (const auto& [name, lane] : lanes_) {
-            if (static_cast<int>(lane.last.rank) >= q.rank || q.waited || lane.arrivals.empty() ||
+            if (!spare || static_cast<int>(lane.last.rank) >= q.rank || q.waited || lane.arrivals.empty() ||
                 !spared.insert(name).second)
                 continue;
             double tasks = 0;
             for (const auto& [when, n] : lane.arrivals) tasks += n;
             double soon = std::ceil(tasks * 2 * settings_.reportS / (4 * settings_.leaseS));
             double most = std::max(8.0, static_cast<double>(count) / 16);
-            planner.place_batch(probe(lane.last, static_cast<std::uint32_t>(std::min(soon, most))), true);
+            Need one = need_of(lane.last);
+            std::map<std::size_t, std::uint32_t> slots;
+            for (const auto& slot :
+                 planner.place_batch(probe(lane.last, static_cast<std::uint32_t>(std::min(soon, most))), true))
+                ++slots[slot.machine];
+            for (const auto& [machine, n] : slots) {
+                Need free = placement::free_at(planner.machines()[machine], now.wall);
+                for (std::uint32_t k = 0; k < n; ++k) free += one;
+                sparedRoom.emplace_back(planner.machines()[machine].kind, free);
+            }
         }
         if (auto it = jobNotes_.find(job.id); it != jobNotes_.end() && now.steady < it->second.notBeforeS) continue;
         bool gang = job.wide_gang();
@@ -235,11 +253,18 @@
         // had of late: it would otherwise wait for the end of a task in spite of its rank.
         Need kept;
         for (const auto& [key, urgent] : urgent_)
-            if (key.first == s.crew && key.second < q.rank && !q.waited)
+            if (key.first == s.crew && key.second < q.rank && !q.waited && !held_back_too_long(job.id, now))
                 kept.cores += urgent.cores, kept.gpus += urgent.gpus;
         std::uint32_t limit = placement::times(teamRoom - kept, {s.cores, s.gpus, 0});
         std::uint32_t most = gang ? s.steps : std::min(limit, 256u);
-        if (limit == 0 || (gang && limit < s.steps)) continue;
+        std::uint32_t least = gang ? s.steps : 1;
+        bool begun = job.placed + job.done > 0;
+        if (limit < least) {
+            auto all = unused.find(s.crew);
+            if (!begun && all != unused.end() && placement::times(all->second, {s.cores, s.gpus, 0}) >= least)
+                hold_back(job);
+            continue;
+        }
         open.clear();
         for (std::uint32_t c = 0; c < job.chunks.size() && open.size() < most; ++c) {
             const auto& chunk = job.chunks[c];
@@ -274,6 +299,10 @@
         if (gang && whole.tasks.size() == s.steps) plan.starts.push_back(std::move(whole));
         teamRoom = {teamRoom.cores - started * s.cores, teamRoom.gpus - started * s.gpus, teamRoom.ramGb};
         if (q.waited && started > 0 && act) spend_waited(waitedNextS_, q, started, now);
+        if (!begun && !started && std::any_of(sparedRoom.begin(), sparedRoom.end(), [&](const auto& e) {
+                return r.allowed[e.first] && r.need.fits(e.second);
+            }))
+            hold_back(job);
         if (started < r.count) plan.unmet.push_back({&job, r.count - started, q.beyond, soonest});
         if (auto it = reservations_.find(job.id); it != reservations_.end()) {
             if (started == r.count)
@@ -284,6 +313,7 @@
                         planner.reserve(m->second, need_of(s), it->second.untilS);
         }
     }
+    if (act) heldBackS_ = std::move(heldBack);
     plan.machines = planner.machines();
     return plan;
 }
--- a/tests/mixed_troubles_test.cpp
+++ b/tests/mixed_troubles_test.cpp
@@ -1,7 +1,9 @@
-// Seeded mixes of the troubles that PROTOCOL and the operators name, on a virtual clock: controllers that crash and are
-// back in a moment, lose the store, their peers or the workers; transactions that apply late; machines that die,
-// restart, hear nobody; commands that execute late; copies of reports. The rules are checked at every step, and when
-// the troubles are over every accepted job ends and is known everywhere.
+// Seeded mixes of the troubles that PROTOCOL and the operators name, and the meetings of two troubles as scenarios, on
+// a virtual clock: controllers that crash and are back in a moment, lose the store, their peers or the workers; member
+// leases that run out; transactions that apply late; zones cut off with a controller inside; machines that die,
+// restart, hang, hear nobody or reach nobody; commands that execute late; copies of reports. The rules are checked at
+// every step, and when the troubles are over every accepted job ends, is known everywhere, and waits beside no free
+// machine.
 #include <gtest/gtest.h>
 
 #include <deque>
@@ -19,6 +21,9 @@
 namespace {
 
 constexpr double kStep = 0.25, kTroublesUntil = 240, kEnd = 900;
+constexpr double kLeaseS = 20, kCancelS = 45, kMemberTtlS = 5;
+constexpr double kRedCores = 20, kBlueCores = 24;
+constexpr double kLongestWaitS = 90;  // after the troubles, of a job that some machine has room for
 
 struct Task {
     std::uint32_t attempt = 0;
@@ -29,10 +34,14 @@
 };
 
 struct Worker {
-    std::string name;
+    std::string name, build = "c8", hall = "a";
+    bool loaner = false;
     bool there = true;
     std::uint64_t tenure = 1, tick = 0, baton = 0;
-    double sentOk = 0, nextReport = 0, deafUntil = 0;
+    double sentOk = 0, nextReport = 0;
+    double deafUntil = 0;  // hears nobody
+    double muteUntil = 0;  // reaches nobody, commands reach it
+    double hungUntil = 0;  // does nothing at all; goes on where it was
     std::size_t node = 0;
     std::map<model::TaskKey, Task> tasks;
 };
@@ -40,24 +49,39 @@
 struct Node {
     app::Settings settings;
     std::unique_ptr<Core> core;
-    double upAt = 0, cutStoreUntil = 0, cutPeersUntil = 0, cutWorkersUntil = 0, lastStore = 0, adriftSince = 0;
+    double upAt = 0, cutStoreUntil = 0, cutPeersUntil = 0, cutWorkersUntil = 0;
+    double slowUntil = 0;  // the state service answers, but its reads take seconds
+    double lastStore = 0, contact = 0;
     std::uint64_t incarnation = 0;
-    double leaseUntil = 0;
+    double leaseUntil = 0;  // of its member key
+};
+
+class Mix;
+// What happens when; without a scenario, troubles come at random.
+struct Scenario {
+    const char* name;
+    void (*at)(Mix&, double now);
+    double lateTxns = 0.02;  // share of transactions without an answer
+    double lateCopies = 0.05;
+    double urgent = 0.3, demand = 0.06;
 };
 
 class Mix {
   public:
-    explicit Mix(unsigned seed) : random_(seed) {
+    explicit Mix(unsigned seed, const Scenario* scenario = nullptr) : random_(seed) {
+        if (scenario) scenario_ = *scenario;
         app::Settings s = test::site_settings();
-        s.teams = {{"red", 16, 20, 0, 0}, {"blue", 8, 0, 0, 0}};
+        s.leaseS = kLeaseS, s.cancelS = kCancelS;
+        s.teams = {{"red", 16, kRedCores, 0, 0}, {"blue", 8, kBlueCores, 0, 0}};
         raw({{{"set", "ws/types"}, {"data", test::machine_types()}}});
         const std::vector<std::string> names = {"k-0", "k-1", "k-2"};
         for (const auto& n : names) {
             Node& node = nodes_.emplace_back();
             node.settings = s;
             node.settings.member = n;
+            node.settings.location = zone_of(n);
             for (const auto& o : names)
-                if (o != n) node.settings.members.push_back({o, "a", {}});
+                if (o != n) node.settings.members.push_back({o, zone_of(o), {}});
         }
         for (int i = 0; i < 8; ++i) add_worker();
     }
@@ -67,18 +91,32 @@
         while (now_ < kEnd && !testing::Test::HasFailure()) {
             now_ += kStep;
             bool troubles = now_ > 15 && now_ < kTroublesUntil;
-            if (troubles && chance(0.05)) trouble();
-            if (now_ > 5 && now_ < kTroublesUntil && chance(0.06)) submit(++next);
-            if (troubles && chance(0.01)) withdraw();
+            if (troubles && scenario_.at)
+                scenario_.at(*this, now_);
+            else if (troubles && chance(0.05))
+                trouble();
+            // Rented meanwhile: every kind of job has machines that fit.
+            if (once(kTroublesUntil))
+                for (const char* hall : {"a", "b"})
+                    for (int i = 0; i < 2; ++i) {
+                        add_worker();
+                        Worker& w = workers_.back();
+                        w.build = "c8", w.hall = hall, w.loaner = false;
+                    }
+            if (now_ > 5 && now_ < kTroublesUntil && chance(scenario_.demand)) submit(++next);
+            if (troubles && chance(0.01)) withdraw_any();
+            if (chance(0.02)) ask_again();
             while (workers_.size() < 6 ||
                    std::count_if(workers_.begin(), workers_.end(), [](const Worker& w) { return w.there; }) < 6)
                 add_worker();
+            end_member_leases();
             for (Worker& w : workers_) expire(w);
             late();
             for (Node& n : nodes_) serve(n);
             for (Worker& w : workers_)
                 if (w.there) live(w);
             check();
+            if (now_ > kTroublesUntil + 60 && all_over()) break;
         }
         for (const auto& [id, job] : jobs_) {
             if (!job.accepted) continue;
@@ -96,9 +134,102 @@
             }
         }
         EXPECT_GT(jobs_.size(), 5u) << "a mix without jobs shows nothing";
+        EXPECT_GT(starts_, 5) << "a mix without starts shows nothing";
+    }
+
+    // --- what scenarios are made of
+    bool once(double at) const { return now_ >= at && now_ < at + kStep; }
+    std::size_t size() const { return nodes_.size(); }
+    // The controller that keeps most machines.
+    std::size_t leader() {
+        std::map<std::string, int> kept;
+        for (Node& n : nodes_)
+            if (n.core)
+                for (const auto& [name, h] : n.core->view().hosts())
+                    if (h->keeper == n.settings.member) ++kept[n.settings.member];
+        std::size_t best = 0;
+        for (std::size_t i = 0; i < nodes_.size(); ++i)
+            if (kept[nodes_[i].settings.member] > kept[nodes_[best].settings.member]) best = i;
+        return best;
+    }
+    void crash(std::size_t i, double forS) {
+        nodes_[i].core.reset();
+        nodes_[i].upAt = now_ + forS;
+    }
+    void refuse(std::size_t i, double forS) { raise(nodes_[i].cutStoreUntil, forS); }
+    void cut_peers(std::size_t i, double forS) { raise(nodes_[i].cutPeersUntil, forS); }
+    void cut_workers(std::size_t i, double forS) { raise(nodes_[i].cutWorkersUntil, forS); }
+    void outage(double forS) {
+        for (Node& n : nodes_) raise(n.cutStoreUntil, forS);
+        raise(outageUntil_, forS);
+    }
+    void slow_store(double forS) {
+        for (Node& n : nodes_) raise(n.slowUntil, forS);
+    }
+    void cut_zone(const char* zone, double forS) { raise(zoneCutUntil_[zone], forS); }
+    void deafen(double share, double forS) {
+        for (Worker& w : workers_)
+            if (chance(share)) raise(w.deafUntil, forS);
+    }
+    void mute(double share, double forS) {
+        for (Worker& w : workers_)
+            if (chance(share)) raise(w.muteUntil, forS);
+    }
+    void hang(Worker& w, double forS) {
+        raise(w.hungUntil, forS);
+        for (auto& [key, t] : w.tasks) t.endsAt += forS, t.wholeAt += forS;
+    }
+    void hang_some(double share, double forS) {
+        for (Worker& w : workers_)
+            if (chance(share)) hang(w, forS);
+    }
+    void lose_machines(int count) {
+        for (; count > 0; --count) workers_[random_() % workers_.size()].there = false;
     }
+    // Calls off jobs that run, as many as there are up to `count`; their machines hang for `hangS`.
+    void withdraw_running(int count, double hangS = 0) {
+        std::set<std::string> ids;
+        for (const Worker& w : workers_)
+            for (const auto& [key, t] : w.tasks)
+                if (w.there && t.phase == wire::TaskPhase::running) ids.insert(key.first);
+        for (const std::string& id : ids) {
+            if (count-- <= 0) break;
+            for (std::size_t i = 0; i < nodes_.size(); ++i)
+                if (withdraw(id, nodes_[(leader() + 1 + i) % nodes_.size()])) break;
+            for (Worker& w : workers_)
+                if (hangS > 0 &&
+                    std::any_of(w.tasks.begin(), w.tasks.end(), [&](const auto& t) { return t.first.first == id; }))
+                    hang(w, hangS);
+        }
+    }
+    void withdraw_at_ends(double share) { withdrawAtEnd_ = share; }
 
   private:
+    static std::string zone_of(const std::string& node) { return node == "k-2" ? "b" : "a"; }
+    void raise(double& until, double forS) { until = std::max(until, now_ + forS); }
+    bool zone_cut(const std::string& zone) const {
+        auto it = zoneCutUntil_.find(zone);
+        return it != zoneCutUntil_.end() && now_ < it->second;
+    }
+    // Between a controller or machine in one zone and one in another; the state service belongs to no zone.
+    bool apart(const std::string& a, const std::string& b) const { return a != b && (zone_cut(a) || zone_cut(b)); }
+    bool has_store(const Node& n) const { return now_ >= n.cutStoreUntil && !zone_cut(n.settings.location); }
+    bool reach(const Node& n, const Worker& w) const {
+        return w.there && now_ >= n.cutWorkersUntil && now_ >= w.hungUntil && !apart(n.settings.location, w.hall);
+    }
+    bool all_over() const {
+        return lateTxns_.empty() && lateOrders_.empty() && copies_.empty() &&
+               std::all_of(jobs_.begin(), jobs_.end(),
+                           [](const auto& j) { return !j.second.accepted || !j.second.told.empty(); });
+    }
+    // A member's lease ends when it is not renewed, but not in an outage, and has its full time again after that.
+    void end_member_leases() {
+        for (Node& n : nodes_) {
+            if (now_ < outageUntil_) n.leaseUntil = now_ + kMemberTtlS;
+            const std::string key = "ws/members/" + n.settings.member;
+            if (store_.stamp(key) && now_ > n.leaseUntil) raw({{{"remove", key}}});
+        }
+    }
     // Where a job's tasks are, for a failure's message.
     std::string story(Node& n, const std::string& id) {
         auto* job = n.core->view().job(id);
@@ -123,8 +254,9 @@
     struct JobNote {
         wire::JobSpec spec;
         bool accepted = false;
-        bool asked = false;  // to be withdrawn; the answer may have been lost
-        double withdrawn = -1;
+        bool asked = false;     // to be withdrawn; the answer may have been lost
+        double withdrawn = -1;  // since when its user knows that it is
+        double waitsS = 0;      // after the troubles: for how long a machine has had room for it
         std::set<std::uint32_t> completed;
         std::string told;
     };
@@ -142,6 +274,7 @@
         char name[16];
         std::snprintf(name, sizeof name, "n-%06d", ++made_);
         w.name = name;
+        w.build = made_ % 4 == 0 ? "g8" : "c8", w.hall = made_ % 3 == 0 ? "b" : "a", w.loaner = made_ % 5 == 0;
         w.sentOk = now_;
         w.node = random_() % nodes_.size();
         workers_.push_back(w);
@@ -151,7 +284,7 @@
         Node& n = nodes_[random_() % nodes_.size()];
         Worker& w = workers_[random_() % workers_.size()];
         double length = between(2, 45);
-        switch (random_() % 11) {
+        switch (random_() % 16) {
             case 0:  // a process ends, and is back after a while or at once
                 n.core.reset();
                 n.upAt = now_ + (chance(0.5) ? 0.3 : between(2, 12));
@@ -185,21 +318,40 @@
             case 10:
                 n.cutPeersUntil = now_ + length;
                 break;
+            case 11:
+                hang(w, between(2, 60));
+                break;
+            case 12:
+                w.muteUntil = now_ + length;
+                break;
+            case 13:
+                cut_zone(chance(0.5) ? "a" : "b", length);
+                break;
+            case 14:
+                slow_store(length);
+                break;
+            case 15:
+                withdraw_running(2, chance(0.5) ? length : 0);
+                break;
         }
     }
 
     void submit(int number) {
         Node& n = nodes_[random_() % nodes_.size()];
-        if (!n.core || now_ < n.cutStoreUntil || n.core->member_state() != model::MemberState::live) return;
+        if (!n.core || !has_store(n) || n.core->member_state() != model::MemberState::live) return;
         JobNote note;
         wire::JobSpec& s = note.spec;
         s.ref = "j-" + std::to_string(number);
         s.lane = "work", s.crew = chance(0.5) ? "red" : "blue", s.bundle = "img";
-        s.rank = chance(0.3) ? wire::Rank::urgent : wire::Rank::standard;
+        s.rank = chance(scenario_.urgent) ? wire::Rank::urgent : wire::Rank::standard;
+        if (chance(0.25)) s.hall = chance(0.5) ? "a" : "b";
+        if (chance(0.15)) s.builds = {"c8"};
+        s.loaners = chance(0.6);
         bool gang = chance(0.3);
         s.shape = gang ? wire::Shape::gang : wire::Shape::batch;
         s.steps = gang ? 2 : 1 + random_() % 3;
-        s.together = gang;
+        s.together = gang || chance(0.2);
+        s.scatter = !s.together && !s.hall && chance(0.2);
         s.cores = 2 + 2 * (random_() % 3), s.ramGb = 4, s.imageGb = 1;
         s.expectS = between(5, 25), s.snapshotS = chance(0.5) ? 5 : 0, s.flushS = 1;
         sync(n);
@@ -209,23 +361,44 @@
         jobs_[s.ref].accepted = commit(n, draft);
     }
 
-    void withdraw() {
+    void withdraw_any() {
         if (jobs_.empty()) return;
         auto it = jobs_.begin();
         std::advance(it, random_() % jobs_.size());
-        Node& n = nodes_[random_() % nodes_.size()];
-        if (!n.core || now_ < n.cutStoreUntil || n.core->member_state() != model::MemberState::live) return;
+        withdraw(it->first, nodes_[random_() % nodes_.size()]);
+    }
+
+    bool withdraw(const std::string& id, Node& n) {
+        if (!n.core || !has_store(n) || n.core->member_state() != model::MemberState::live) return false;
         sync(n);
-        auto* job = n.core->view().job(it->first);
-        if (!job || job->state != model::JobState::active) return;
+        JobNote& note = jobs_[id];
+        auto* job = n.core->view().job(id);
+        if (!job || job->state != model::JobState::active) return false;
         auto draft = n.core->new_draft();
         draft.withdraw(*job, static_cast<std::int64_t>(moment().wall));
-        it->second.asked = true;
-        if (commit(n, draft)) it->second.withdrawn = now_;
+        note.asked = true;
+        bool told = commit(n, draft);
+        if (told && note.withdrawn < 0) note.withdrawn = now_;
+        return told;
+    }
+
+    // A user repeats a submission, or asks about a job, by way of whichever controller the balancer gives it.
+    void ask_again() {
+        if (jobs_.empty()) return;
+        auto it = jobs_.begin();
+        std::advance(it, random_() % jobs_.size());
+        Node& n = nodes_[random_() % nodes_.size()];
+        if (!it->second.accepted || !n.core || !has_store(n)) return;
+        if (n.core->member_state() != model::MemberState::live) return;
+        sync(n);
+        bool unsure = false;
+        EXPECT_FALSE(n.core->never_runs(it->second.spec, unsure).has_value()) << it->first;
+        ASSERT_TRUE(n.core->known(it->first).has_value()) << it->first << " is forgotten at " << n.settings.member;
+        EXPECT_EQ(n.core->poll(it->first).status, 200) << it->first;
     }
 
     void sync(Node& n) {
-        if (now_ < n.cutStoreUntil) return;
+        if (!has_store(n)) return;
         auto& view = n.core->view();
         auto first = std::partition_point(store_.log.begin(), store_.log.end(),
                                           [&](const auto& c) { return c.stamp <= view.epoch(); });
@@ -234,18 +407,18 @@
             view.apply(it->path, it->data ? &*it->data : nullptr, it->stamp, moment().wall);
         view.advance(store_.epoch);
         if (any) n.core->touch_all();
-        n.lastStore = now_;
+        n.lastStore = n.contact = now_;
     }
 
     bool commit(Node& n, const controller::Draft& draft) {
-        if (draft.empty() || now_ < n.cutStoreUntil) return false;
+        if (draft.empty() || !has_store(n)) return false;
         Json body = draft.build().body;
-        if (chance(0.02) && now_ < kTroublesUntil) {  // no reply: it is applied later, or never
-            if (chance(0.7)) lateTxns_.emplace_back(now_ + between(0.5, 60), body);
+        if (chance(scenario_.lateTxns) && now_ < kTroublesUntil) {  // no reply: it is applied later, or never
+            if (chance(0.7)) lateTxns_.emplace_back(now_ + between(0.5, chance(0.5) ? 12 : 60), body);
             return false;
         }
         bool ok = store_.commit(body).starts_with("ok");
-        sync(n);
+        if (ok || now_ >= n.slowUntil) sync(n);
         return ok;
     }
 
@@ -261,11 +434,16 @@
                 continue;
             }
             for (Worker& w : workers_)
-                if (w.there && w.name == it->host && w.tenure == it->tenure && it->baton >= w.baton) {
+                if (w.there && w.name == it->host && now_ < w.hungUntil) {
+                    it->at = w.hungUntil;  // waits there until the machine goes on
+                } else if (w.there && w.name == it->host && w.tenure == it->tenure && it->baton >= w.baton) {
                     w.baton = it->baton;
                     execute(w, it->orders);
                 }
-            it = lateOrders_.erase(it);
+            if (it->at > now_)
+                ++it;
+            else
+                it = lateOrders_.erase(it);
         }
         for (auto it = copies_.begin(); it != copies_.end();) {
             if (it->at > now_) {
@@ -273,39 +451,45 @@
                 continue;
             }
             Node& n = nodes_[it->node];
-            if (n.core) answer(n, it->report);
+            if (n.core && now_ >= n.cutWorkersUntil) {
+                judge(n);
+                answer(n, it->report);
+            }
             it = copies_.erase(it);
         }
     }
 
     void serve(Node& n) {
         if (!n.core) {
-            if (now_ < n.upAt || now_ < n.cutStoreUntil) return;
+            if (now_ < n.upAt || !has_store(n)) return;
             n.incarnation = ++incarnations_;
             n.core = std::make_unique<Core>(n.settings, controller::Tunables{}, n.incarnation);
             n.lastStore = now_;
             sync(n);
             n.core->set_view_ready(true);
             raw({{{"set", "ws/members/" + n.settings.member}, {"data", {{"inc", n.incarnation}}}}});
-            n.leaseUntil = now_ + 5;
+            n.leaseUntil = now_ + kMemberTtlS;
         }
-        bool store = now_ >= n.cutStoreUntil;
+        bool store = has_store(n);
         const std::string key = "ws/members/" + n.settings.member;
         if (store) {
-            sync(n);
-            if (!n.core->member_stamp()) raw({{{"set", key}, {"data", {{"inc", n.incarnation}}}}});
-            n.leaseUntil = now_ + 5;
-            sync(n);
+            n.lastStore = now_;
+            if (now_ >= n.slowUntil || chance(0.1)) sync(n);
+            if (!n.core->member_stamp() || now_ > n.leaseUntil) {
+                raw({{{"set", key}, {"data", {{"inc", n.incarnation}}}}});
+                sync(n);
+            }
+            n.leaseUntil = now_ + kMemberTtlS;
         }
         for (Node& other : nodes_) {
             if (&other == &n || !other.core || now_ < other.cutPeersUntil || now_ < n.cutPeersUntil) continue;
+            if (apart(n.settings.location, other.settings.location)) continue;
             n.core->set_hint(other.core->own_hint(now_ - other.lastStore, moment()), moment());
         }
-        model::Heard h;
-        h.registered = n.core->member_stamp() != 0, h.storeAgeS = now_ - n.lastStore, h.hasPeers = true;
-        h.peerHeard = n.core->peer_heard(moment()), h.peerHasStore = n.core->peer_has_store(moment());
-        n.core->set_member_state(model::judge(n.core->member_state(), h, {45, 20}), moment());
+        judge(n);
         n.core->tick(moment());
+        if (n.core->member_state() != model::MemberState::live)
+            for (auto& [host, orders] : n.core->commands_due(moment())) command(n, host, orders);
         if (!store) return;
         if (n.core->member_state() != model::MemberState::live) return;
         commit(n, n.core->round(moment()));
@@ -324,6 +508,14 @@
         commit(n, draft);
     }
 
+    void judge(Node& n) {
+        model::Heard h;
+        h.registered = n.core->member_stamp() != 0, h.hasPeers = true;
+        h.storeAgeS = now_ - n.lastStore, h.contactAgeS = now_ - n.contact;
+        h.peerHeard = n.core->peer_heard(moment()), h.peerHasStore = n.core->peer_has_store(moment());
+        n.core->set_member_state(model::judge(n.core->member_state(), h, {kCancelS, kLeaseS}), moment());
+    }
+
     void command(Node& n, const std::string& host, const std::vector<wire::Order>& orders) {
         auto* record = n.core->view().host(host);
         auto* notes = n.core->notes(host);
@@ -331,9 +523,10 @@
         n.core->commands_sent(host, orders, moment());
         auto w = std::find_if(workers_.begin(), workers_.end(),
                               [&](const Worker& each) { return each.there && each.name == host; });
-        bool reaches = w != workers_.end() && now_ >= n.cutWorkersUntil && now_ >= w->deafUntil;
+        bool reaches = w != workers_.end() && reach(n, *w) && now_ >= w->deafUntil;
         if (!reaches || (chance(0.03) && now_ < kTroublesUntil)) {
-            if (chance(0.5)) lateOrders_.push_back({now_ + between(0.5, 90), host, tenure, baton, orders});
+            bool hangs = w != workers_.end() && now_ < w->hungUntil;
+            if (hangs || chance(0.5)) lateOrders_.push_back({now_ + between(0.5, 90), host, tenure, baton, orders});
             n.core->commands_answered(host, orders, false, baton);
             return;
         }
@@ -361,7 +554,10 @@
                     }
                 const auto& job = jobs_.find(o.job);
                 ASSERT_TRUE(job != jobs_.end());
-                EXPECT_FALSE(job->second.withdrawn >= 0 && now_ > job->second.withdrawn + 45) << o.job;
+                EXPECT_FALSE(job->second.withdrawn >= 0 && now_ > job->second.withdrawn + kCancelS)
+                    << o.job << " starts " << now_ - job->second.withdrawn << " s after its end";
+                check_place(w, job->second.spec);
+                ++starts_;
                 bool kept = job->second.completed.count(o.index) > 0;
                 w.tasks[key] = {o.attempt, wire::TaskPhase::running, wire::Cause::none,
                                 now_ + (kept ? 0.5 : job->second.spec.expectS * between(0.5, 1.5)), now_};
@@ -378,7 +574,7 @@
 
     wire::Report report(Worker& w) {
         wire::Report r;
-        r.host = w.name, r.address = "10.1.0.1:9000", r.build = "c8", r.hall = "a";
+        r.host = w.name, r.address = "10.1.0.1:9000", r.build = w.build, r.hall = w.hall, r.loaners = w.loaner;
         r.tenure = w.tenure, r.tick = ++w.tick, r.baton = w.baton;
         for (const auto& [key, t] : w.tasks) {
             wire::TaskReport e;
@@ -404,13 +600,14 @@
     }
 
     void expire(Worker& w) {
-        if (now_ - w.sentOk < 20) return;
+        if (now_ - w.sentOk < kLeaseS) return;
         w.tasks.clear();
         ++w.tenure;
         w.sentOk = now_;
     }
 
     void live(Worker& w) {
+        if (now_ < w.hungUntil) return;
         for (auto& [key, t] : w.tasks) {
             if (t.phase != wire::TaskPhase::running) continue;
             JobNote& job = jobs_[key.first];
@@ -419,8 +616,8 @@
             if (job.spec.shape == wire::Shape::gang)
                 for (Worker& other : workers_)
                     for (auto& [otherKey, o] : other.tasks)
-                        if (other.there && &o != &t && otherKey.first == key.first && o.attempt == t.attempt &&
-                            o.phase == wire::TaskPhase::running)
+                        if (other.there && now_ >= other.hungUntil && &o != &t && otherKey.first == key.first &&
+                            o.attempt == t.attempt && o.phase == wire::TaskPhase::running)
                             gang.push_back(&o);
             bool whole = job.spec.shape != wire::Shape::gang || gang.size() == job.spec.steps;
             if (whole) t.wholeAt = now_;
@@ -430,6 +627,9 @@
                     for (std::uint32_t i = 0; i < job.spec.steps; ++i) job.completed.insert(i);
                 else
                     job.completed.insert(key.second);
+                // A user calls it off at the very moment at which its last task ends.
+                if (job.completed.size() == job.spec.steps && chance(withdrawAtEnd_))
+                    withdraw(key.first, nodes_[random_() % nodes_.size()]);
             } else if (!whole && now_ - t.wholeAt > 8) {
                 t.phase = wire::TaskPhase::ended, t.cause = wire::Cause::peers;
             }
@@ -439,10 +639,14 @@
         Node& n = nodes_[w.node];
         double sent = now_;
         wire::Report r = report(w);
-        if (chance(0.05) && now_ < kTroublesUntil) copies_.push_back({now_ + between(1, 80), w.node, r});
+        if (chance(scenario_.lateCopies) && now_ < kTroublesUntil)
+            copies_.push_back({now_ + between(1, 80), w.node, r});
         Reply reply;
-        bool heard = n.core && now_ >= n.cutWorkersUntil;
-        if (heard) reply = answer(n, r);
+        bool heard = n.core && reach(n, w) && now_ >= w.muteUntil;
+        if (heard) {
+            judge(n);
+            reply = answer(n, r);
+        }
         if (!heard || now_ < w.deafUntil || reply.status == 503) {
             w.node = (w.node + 1) % nodes_.size();
             w.nextReport = now_ + (heard && reply.status == 503 ? 1 : 5);
@@ -458,20 +662,115 @@
         }
     }
 
-    void check() {
+    // Type, zone and kind of machine, and the zones of the job's other tasks at that moment.
+    void check_place(const Worker& w, const wire::JobSpec& s) {
+        EXPECT_TRUE(fits(w, s)) << s.ref << " starts in a wrong place: " << w.name << " " << w.build << " " << w.hall;
+        std::uint32_t inHall = 1;
+        for (const Worker& other : workers_)
+            for (const auto& [key, t] : other.tasks) {
+                if (!other.there || key.first != s.ref || t.phase == wire::TaskPhase::ended || &other == &w) continue;
+                if (s.together) {
+                    EXPECT_EQ(other.hall, w.hall) << s.ref << " is torn apart at " << now_;
+                }
+                inHall += other.hall == w.hall;
+            }
+        if (s.scatter) {
+            EXPECT_LE(inHall, (s.steps + 1) / 2) << s.ref << " is crowded in " << w.hall << " at " << now_;
+        }
+    }
+    static bool fits(const Worker& w, const wire::JobSpec& s) {
+        if (s.builds && std::find(s.builds->begin(), s.builds->end(), w.build) == s.builds->end()) return false;
+        return (!s.hall || *s.hall == w.hall) && (!w.loaner || s.loaners);
+    }
+    double used_on(const Worker& w) const {
         double used = 0;
+        for (const auto& [key, t] : w.tasks)
+            if (t.phase != wire::TaskPhase::ended) used += jobs_.at(key.first).spec.cores;
+        return used;
+    }
+
+    // Once the troubles are over: no job without a task waits while machines that fit have room and its team may.
+    void check_waiting(const std::map<std::string, double>& used) {
+        if (now_ < kTroublesUntil + kLeaseS) return;
+        for (auto& [id, job] : jobs_) {
+            const wire::JobSpec& s = job.spec;
+            std::uint32_t need = s.shape == wire::Shape::gang ? s.steps : 1;
+            bool begun = !job.accepted || job.asked || !job.completed.empty();
+            std::map<std::string, std::uint32_t> room;  // by zone
+            for (const Worker& w : workers_) {
+                if (!w.there || now_ < std::max({w.deafUntil, w.muteUntil, w.hungUntil})) continue;
+                for (const auto& [key, t] : w.tasks) begun = begun || key.first == id;
+                if (fits(w, s)) room[w.hall] += static_cast<std::uint32_t>((8 - used_on(w)) / s.cores);
+            }
+            double limit = s.crew == "red" ? kRedCores : kBlueCores;
+            auto it = used.find(s.crew);
+            bool may = (it == used.end() ? 0 : it->second) + need * s.cores <= limit;
+            bool free = std::any_of(room.begin(), room.end(), [&](const auto& r) { return r.second >= need; });
+            job.waitsS = !begun && may && free ? job.waitsS + kStep : 0;
+            EXPECT_LT(job.waitsS, kLongestWaitS)
+                << id << " of " << s.steps << " x " << s.cores << " cores, team " << s.crew << ", rank "
+                << static_cast<int>(s.rank) << ", waits beside machines with room at " << now_ << "\n"
+                << whole();
+        }
+    }
+
+    // What the state service was told about a job.
+    std::string history(const std::string& id) {
+        std::string out;
+        for (const auto& c : store_.log)
+            if (c.path.find("/" + id) != std::string::npos)
+                out += std::to_string(c.stamp) + " " + c.path + " " + (c.data ? c.data->dump() : "removed") + "\n";
+        return out;
+    }
+
+    // All that is there and all that waits, for a failure's message.
+    std::string whole() {
+        std::string out;
+        for (const Worker& w : workers_) {
+            if (!w.there) continue;
+            out += w.name + " " + w.build + " " + w.hall + (w.loaner ? " spot" : "") + " baton " +
+                   std::to_string(w.baton) + ":";
+            for (const auto& [key, t] : w.tasks)
+                out += " " + wire::step_name(key.first, key.second) + "#" + std::to_string(t.attempt) +
+                       (t.phase == wire::TaskPhase::ended ? " ended" : "");
+            for (Node& n : nodes_)
+                if (auto* h = n.core ? n.core->view().host(w.name) : nullptr; h && h->keeper == n.settings.member)
+                    if (auto* notes = n.core->notes(w.name))
+                        out += " [" + h->keeper + " " + model::HostTraits::name(notes->state) + " baton " +
+                               std::to_string(h->baton) + " gaps " + std::to_string(notes->gaps) + " rest " +
+                               std::to_string(notes->quarantineUntilS - now_) + " leaving " +
+                               std::to_string(static_cast<int>(h->leaving)) + " placed " +
+                               std::to_string(h->placed.size()) + "]";
+            out += "\n";
+        }
+        for (auto& [id, job] : jobs_)
+            if (job.accepted && !job.asked && job.completed.size() < job.spec.steps)
+                out += id + ": " + std::to_string(job.spec.steps) + " x " + std::to_string(job.spec.cores) + " " +
+                       job.spec.crew + (job.spec.hall ? " only " + *job.spec.hall : "") +
+                       (job.spec.shape == wire::Shape::gang ? " gang" : "") +
+                       (job.spec.rank == wire::Rank::urgent ? " urgent" : "") + "\n";
+        return out;
+    }
+
+    void check() {
+        std::map<std::string, double> used;
         for (const Worker& w : workers_)
             if (w.there)
                 for (const auto& [key, t] : w.tasks) {
                     if (t.phase == wire::TaskPhase::ended) continue;
                     const JobNote& job = jobs_[key.first];
-                    if (job.spec.crew == "red") used += job.spec.cores;
-                    EXPECT_FALSE(job.withdrawn >= 0 && now_ > job.withdrawn + 45)
+                    used[job.spec.crew] += job.spec.cores;
+                    EXPECT_FALSE(job.withdrawn >= 0 && now_ > job.withdrawn + kCancelS)
                         << key.first << " runs on " << w.name << " " << now_ - job.withdrawn << " s after its end";
                 }
-        EXPECT_LE(used, 20) << "the limit of team red at " << now_;
+        EXPECT_LE(used["red"], kRedCores) << "the limit of team red at " << now_;
+        EXPECT_LE(used["blue"], kBlueCores) << "the limit of team blue at " << now_;
+        check_waiting(used);
         for (Node& n : nodes_) {
-            if (!n.core || now_ < n.cutStoreUntil) continue;
+            if (!n.core || !has_store(n)) continue;
+            // What is not final is answered only from a read of that moment.
+            if (now_ < n.slowUntil) continue;
+            sync(n);
             for (auto& [id, job] : jobs_) {
                 auto a = n.core->known(id);
                 if (!a) continue;
@@ -480,9 +779,15 @@
                     EXPECT_EQ(job.completed.size(), job.spec.steps) << id << " is called done early";
                 }
                 bool final = phase == "done" || phase == "aborted";
+                if (final) {
+                    EXPECT_TRUE(phase == "done" || job.asked) << id << " is called cancelled, and nobody asked for it";
+                }
+                // Told by a question, too: its cancellation may have been carried out without an answer.
+                if (phase == "aborted" && job.withdrawn < 0) job.withdrawn = now_;
                 if (final && job.told.empty()) job.told = phase;
                 if (!job.told.empty()) {
-                    EXPECT_EQ(phase, job.told) << id << " went back";
+                    EXPECT_EQ(phase, job.told) << id << " went back at " << n.settings.member << " at " << now_ << "\n"
+                                               << history(id);
                 }
             }
         }
@@ -500,6 +805,10 @@
         wire::Report report;
     };
     std::mt19937 random_;
+    Scenario scenario_{"mix", nullptr};
+    double withdrawAtEnd_ = 0.02, outageUntil_ = 0;
+    std::map<std::string, double> zoneCutUntil_;
+    int starts_ = 0;
     double now_ = 0;
     test::Store store_;
     std::deque<Node> nodes_;
@@ -520,4 +829,123 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, MixedTroubles, testing::Range(1u, 13u));
 
+// The meetings of two troubles that the operators have named, one scenario each.
+const Scenario kMeetings[] = {
+    {"LateTransactions",
+     [](Mix& m, double) {
+         if (m.once(60) || m.once(150)) m.crash(m.leader(), 4);
+         if (m.once(80) || m.once(120)) m.withdraw_running(2);
+     },
+     0.25},
+    {"JobsBoundToAZoneLoseMachines",
+     [](Mix& m, double) {
+         if (m.once(60) || m.once(140)) m.lose_machines(4);
+         if (m.once(100)) m.cut_zone("b", 30);
+     }},
+    {"TeamAtItsLimitWhenTheLeaderChanges",
+     [](Mix& m, double) {
+         if (m.once(70) || m.once(150)) m.mute(0.4, 30), m.deafen(0.2, 40);
+         if (m.once(72) || m.once(152)) m.crash(m.leader(), 5);
+         if (m.once(74) || m.once(154)) m.withdraw_running(3);
+     },
+     0.02, 0.05, 0.3, 0.1},
+    {"CancelledAtTheEnd", [](Mix& m, double) { m.withdraw_at_ends(0.6); }},
+    {"HeldReports",
+     [](Mix& m, double) {
+         if (m.once(50) || m.once(90) || m.once(130) || m.once(170)) m.crash(m.leader(), 6);
+         if (m.once(95)) m.withdraw_running(2);
+     },
+     0.02, 0.4},
+    {"SlowThenAloneThenOutage",
+     [](Mix& m, double) {
+         if (m.once(40)) m.slow_store(30);
+         if (m.once(80) || m.once(165)) m.refuse(m.leader(), 14);
+         if (m.once(81) || m.once(82) || m.once(83) || m.once(167)) m.withdraw_running(2);
+         if (m.once(84)) m.outage(66);
+         if (m.once(168)) m.outage(60);
+     }},
+    {"AllAwayForLongerThanALease",
+     [](Mix& m, double) {
+         if (m.once(60) || m.once(150))
+             for (std::size_t i = 0; i < m.size(); ++i) m.crash(i, 22.0 + static_cast<double>(i));
+         if (m.once(59.5) || m.once(149)) m.withdraw_running(2);
+     }},
+    {"HandedOverAndBackAndAllEnd",
+     [](Mix& m, double) {
+         if (m.once(50) || m.once(58) || m.once(66)) m.crash(m.leader(), 0.3);
+         if (m.once(75) || m.once(130)) m.crash(0, 12), m.crash(1, 0.3), m.crash(2, 12);
+         if (m.once(76)) m.withdraw_running(2);
+         if (m.once(78) || m.once(131)) m.crash(1, 0.3);
+     }},
+    {"ZoneCutOffWithAController",
+     [](Mix& m, double) {
+         if (m.once(60)) m.cut_zone("b", 32);
+         if (m.once(62) || m.once(142)) m.withdraw_running(3);
+         if (m.once(70)) m.crash(m.leader(), 4);
+         if (m.once(140)) m.cut_zone("a", 50);
+     }},
+    {"MoreWorkThanRoom",
+     [](Mix& m, double) {
+         if (m.once(100)) m.crash(m.leader(), 5);
+     },
+     0.02, 0.05, 0.5, 0.12},
+    {"MuteMachines",
+     [](Mix& m, double) {
+         if (m.once(50) || m.once(130)) m.mute(0.6, 45);
+         if (m.once(53) || m.once(133)) m.withdraw_running(3);
+         if (m.once(135)) m.crash(m.leader(), 5);
+     }},
+    {"HungMachinesGoOn",
+     [](Mix& m, double) {
+         if (m.once(50)) m.withdraw_running(3, 12);
+         if (m.once(90)) m.withdraw_running(3, 18);
+         if (m.once(91)) m.crash(m.leader(), 5);
+         if (m.once(130)) m.hang_some(0.4, 19);
+         if (m.once(170)) m.withdraw_running(3, 60);
+         if (m.once(171)) m.outage(20);
+     }},
+    {"LeaderEndsWhileMachinesAreDeaf",
+     [](Mix& m, double) {
+         if (m.once(60) || m.once(140)) m.deafen(0.5, 50);
+         if (m.once(61) || m.once(141)) m.crash(m.leader(), 5);
+         if (m.once(70)) m.withdraw_running(2);
+     }},
+    {"LeaderCutFromStoreAndPeers",
+     [](Mix& m, double) {
+         if (m.once(60) || m.once(150)) {
+             auto i = m.leader();
+             m.refuse(i, 50), m.cut_peers(i, 50);
+         }
+         if (m.once(62) || m.once(64) || m.once(70) || m.once(153)) m.withdraw_running(2);
+     }},
+    {"CancelledAtTheMomentOfTheRefusal",
+     [](Mix& m, double) {
+         if (m.once(70) || m.once(160)) {
+             m.refuse(m.leader(), 14);
+             m.withdraw_running(4);
+         }
+         if (m.once(71) || m.once(161.5)) m.outage(66);
+     }},
+    {"LeadersChangeTenTimes",
+     [](Mix& m, double now) {
+         for (int k = 0; k < 10; ++k)
+             if (m.once(60 + 12 * k)) m.crash(m.leader(), k % 3 ? 5 : 0.3);
+         if (m.once(100)) m.outage(25);
+         if (now > 90 && now < 91) m.withdraw_running(1);
+     }},
+};
+
+class Meetings : public testing::TestWithParam<std::tuple<std::size_t, unsigned>> {};
+
+TEST_P(Meetings, KeepTheRules) {
+    auto [scenario, seed] = GetParam();
+    Mix(seed, &kMeetings[scenario]).run();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Seeds, Meetings, testing::Combine(testing::Range(std::size_t{0}, std::size(kMeetings)), testing::Values(1u, 2u)),
+    [](const auto& p) {
+        return std::string(kMeetings[std::get<0>(p.param)].name) + std::to_string(std::get<1>(p.param));
+    });
+
 }  // namespace
