--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -136,12 +136,18 @@
         unsure = true;
         return std::nullopt;
     }
+    std::set<std::string> halls;  // in which a task may run
     for (const auto& [name, t] : view_->types()) {
         if (s.builds && std::find(s.builds->begin(), s.builds->end(), name) == s.builds->end()) continue;
-        if (s.hall && std::find(t.halls.begin(), t.halls.end(), *s.hall) == t.halls.end()) continue;
-        if (placement::Need{s.cores, s.gpus, s.ramGb}.fits({t.cores, t.gpus, t.ramGb})) return std::nullopt;
+        if (!placement::Need{s.cores, s.gpus, s.ramGb}.fits({t.cores, t.gpus, t.ramGb})) continue;
+        for (const std::string& hall : t.halls)
+            if (!s.hall || *s.hall == hall) halls.insert(hall);
     }
-    return "a task fits no allowed machine type";
+    if (halls.empty()) return "a task fits no allowed machine type";
+    // All of a gang runs at once: its tasks are where they may be together, or never.
+    if (s.scatter && s.shape == wire::Shape::gang && s.steps > 1 && (s.together || halls.size() < 2))
+        return "at most half of a scattered gang may be in one zone, and it may use no other";
+    return std::nullopt;
 }
 
 // ---------------------------------------------------------------- workers
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -250,12 +250,15 @@
         double notBeforeS = -1e9;
     };
     std::unordered_map<std::string, JobNotes> jobNotes_;
-    // Jobs that would run but for room kept for others: since when. Kept room is a courtesy, and may not cost a job
-    // more than two leases.
-    std::unordered_map<std::string, double> heldBackS_;
+    // Jobs that would run but for room kept for others: since when, and when that was seen last; a moment without any
+    // room, between two tasks, does not end it. Kept room is a courtesy, and may not cost a job more than two leases.
+    struct HeldBack {
+        double sinceS, seenS;
+    };
+    std::unordered_map<std::string, HeldBack> heldBack_;
     bool held_back_too_long(const std::string& id, Moment now) const {
-        auto it = heldBackS_.find(id);
-        return it != heldBackS_.end() && now.steady - it->second > 2 * settings_.leaseS;
+        auto it = heldBack_.find(id);
+        return it != heldBack_.end() && now.steady - it->second.sinceS > 2 * settings_.leaseS;
     }
     // Foreign hosts on which a planned start does not happen: since when.
     std::unordered_map<std::string, double> doubts_;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -209,12 +209,15 @@
     // disturb no promise.
     std::set<std::string> spared;                            // lanes for which room has been left
     std::vector<std::pair<std::uint32_t, Need>> sparedRoom;  // what was free there: kind of machine, room
-    std::unordered_map<std::string, double> heldBack;
+    if (act)
+        std::erase_if(heldBack_, [&](const auto& e) {
+            const Job* job = view_->job(e.first);
+            return !job || job->placed + job->done > 0 || now.steady - e.second.seenS > settings_.reportS;
+        });
     auto hold_back = [&](const Job& job) {
-        auto it = heldBackS_.find(job.id);
-        heldBack[job.id] = it == heldBackS_.end() ? now.steady : it->second;
+        if (act) heldBack_.try_emplace(job.id, HeldBack{now.steady, now.steady}).first->second.seenS = now.steady;
     };
-    bool spare = std::none_of(heldBackS_.begin(), heldBackS_.end(),
+    bool spare = std::none_of(heldBack_.begin(), heldBack_.end(),
                               [&](const auto& e) { return held_back_too_long(e.first, now); });
     std::vector<std::uint32_t> open;
     for (const Queued& q : ordered_queue(planner.machines(), now)) {
@@ -313,7 +316,6 @@
                         planner.reserve(m->second, need_of(s), it->second.untilS);
         }
     }
-    if (act) heldBackS_ = std::move(heldBack);
     plan.machines = planner.machines();
     return plan;
 }
