An outage longer than cancel_s costs no work: the other controllers say what they have confirmed

Each hint now carries a question and the answer to the receiver's last one, with all cancellations that the sender knows to be confirmed. Answers of all others, of the processes that the store last named, to a question asked at q let the bound count from q (model::Inquiry); what they tell of is halted. One that is not heard, or a new process, leaves the old bound. Hints changed: version 4.

--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -203,6 +203,8 @@
     if (mine) {
         // A baton above ours was handed out by somebody the watch has not shown yet, or cannot.
         if (r.baton > h->baton) return member_ == MemberState::live ? Admission{Admission::claim, ""} : Admission{};
+        // Without the store it cannot be fenced anew: the end of its session is what a start under way can't outlive.
+        if (member_ != MemberState::live && may_start_cancelled(*h)) return {};
         // Also in an outage: without our answers the machine's lease would run out and its work be lost.
         return {Admission::kept, ""};
     }
@@ -340,7 +342,7 @@
 }
 
 bool Core::stopping(const Job& job, const Step& step) const {
-    if (job.state == JobState::withdrawn) return true;
+    if (cancelled(job)) return true;
     if (!job.wide_gang()) return false;
     return gang_state(job) == GangState::broken || (job.stopAttempt && job.stopAttempt == step.attempt);
 }
@@ -396,7 +398,7 @@
             HaltNote& note = n->halts[key];
             bool first = note.attempt != s.attempt;
             if (first) note = {s.attempt, now.steady};
-            bool useless = ref.job->state == JobState::withdrawn || ref.job->spec->snapshotS <= 0;
+            bool useless = cancelled(*ref.job) || ref.job->spec->snapshotS <= 0;
             bool orderly = !useless && (!ref.job->wide_gang() || gang_state(*ref.job) != GangState::broken);
             double windDown = orderly ? ref.job->spec->flushS + settings_.reportS : 0;
             if (seen->second.phase == wire::TaskPhase::flushing && orderly) continue;
@@ -456,15 +458,55 @@
 
 bool Core::cancelled(const std::string& id) const {
     if (const auto* f = view_->final(id)) return f->state == JobState::aborted;
+    if (cancelled_.count(id)) return true;
     const Job* job = view_->job(id);
     return job && job->state == JobState::withdrawn;
 }
 
+bool Core::cancelled(const Job& job) const {
+    return job.state == JobState::withdrawn || (!cancelled_.empty() && cancelled_.count(job.id));
+}
+
+std::vector<std::string> Core::cancellations() const {
+    std::vector<std::string> out(cancelled_.begin(), cancelled_.end());
+    for (const auto& [order, job] : view_->queue())
+        if (job->state == JobState::withdrawn && !cancelled_.count(job->id)) out.push_back(job->id);
+    return out;
+}
+
+void Core::note_cancelled(const std::vector<std::string>& ids) {
+    for (const std::string& id : ids) {
+        if (cancelled(id) || !cancelled_.insert(id).second) continue;
+        if (const Job* job = view_->job(id)) mark_job(*job);
+    }
+}
+
+std::map<std::string, std::uint64_t> Core::others() const {
+    std::map<std::string, std::uint64_t> out;
+    for (const auto& m : settings_.members) {
+        auto it = view_->members().find(m.name);
+        out[m.name] = it == view_->members().end() ? 0 : it->second.incarnation;
+    }
+    return out;
+}
+
+// A start of a cancelled task that had no answer can execute for as long as the machine's session lasts.
+bool Core::may_start_cancelled(const HostRecord& h) const {
+    auto it = notes_.find(h.name);
+    if (it == notes_.end()) return false;
+    return std::any_of(h.placed.begin(), h.placed.end(), [&](const StepRef& ref) {
+        if (!cancelled(*ref.job)) return false;
+        auto sent = it->second.starts.find({ref.job->id, ref.index});
+        return sent != it->second.starts.end() && !sent->second.seen &&
+               (sent->second.inFlight > 0 || sent->second.unanswered > 0);
+    });
+}
+
 // Of a cancelled task whose start has been sent and which no report shows: the start may reach the machine still, and
 // the halt behind it then ends the task at once.
 void Core::add_blind_halts(const HostRecord& h, const HostNotes& n, std::vector<wire::Order>& all) const {
     for (const StepRef& ref : h.placed) {
-        if (ref.job->state != JobState::withdrawn) continue;
+        if (!cancelled(*ref.job)) continue;
         TaskKey key{ref.job->id, ref.index};
         std::uint32_t attempt = ref.job->step(ref.index, view_->chunk_size()).attempt;
         auto sent = n.starts.find(key);
@@ -566,6 +608,10 @@
 bool Core::tick(Moment now) {
     now_ = now;
     bool changed = false;
+    std::erase_if(cancelled_, [&](const std::string& id) {
+        const Job* job = view_->job(id);
+        return view_->final(id) || (job && job->state == JobState::withdrawn);
+    });
     for (auto it = notes_.begin(); it != notes_.end();) {
         const std::string& name = it->first;
         HostNotes& n = it->second;
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -121,6 +121,12 @@
     void set_hint(const peers::Hint& hint, Moment now);
     peers::Hint own_hint(double storeAgeS, Moment now) const;
     bool peer_has_store(Moment now) const;
+    // All cancellations that are confirmed, as far as this controller knows: the store's, those that it has confirmed
+    // to users itself, and those that the others told of.
+    std::vector<std::string> cancellations() const;
+    void note_cancelled(const std::vector<std::string>& ids);
+    // The processes of all other controllers, by the last read; without those that are not there.
+    std::map<std::string, std::uint64_t> others() const;
     bool peer_heard(Moment now) const;  // some other controller has spoken of late
 
     bool responsible(const model::Job& job) const;
@@ -147,6 +153,8 @@
     model::GangState gang_state(const model::Job& job) const;
     bool stopping(const model::Job& job, const model::Step& step) const;
     bool cancelled(const std::string& id) const;
+    bool cancelled(const model::Job& job) const;
+    bool may_start_cancelled(const model::HostRecord& h) const;
     bool holds_cancelled(const model::HostRecord& h, const model::HostNotes& n, Moment now) const;
     void add_blind_halts(const model::HostRecord& h, const model::HostNotes& n, std::vector<wire::Order>& all) const;
     bool kept_here(const model::HostRecord* h) const;
@@ -231,6 +239,7 @@
     std::map<std::string, double> waitedNextS_;
     std::uint64_t lastOrder_ = 0;  // the newest job that was planned for
 
+    std::set<std::string> cancelled_;  // confirmed, and not seen in the store yet
     std::unordered_map<std::string, model::HostNotes> notes_;
     std::map<std::string, wire::Report> claims_;
     struct Redirected {
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -95,7 +95,8 @@
       work_(io),
       userWork_(io),
       barrierAsked_(io),
-      barrierDone_(io) {
+      barrierDone_(io),
+      inquiry_(core_.incarnation()) {
     front::Handlers h;
     h.submit = [this](std::string b) { return on_submit(std::move(b)); };
     h.checkin = [this](std::string b) { return on_checkin(std::move(b)); };
@@ -106,17 +107,27 @@
                                              s.leaseS, std::move(h));
     mesh_ = std::make_unique<peers::Mesh>(
         io, s,
-        [this] {
+        [this](const std::string& to) {
             // Put together once for all who are told in the same moment: it looks at every machine.
             if (net::steady_now() - hintAt_ > kHintFor) {
                 hintAt_ = net::steady_now();
                 hint_ = core_.own_hint(0, now());
+                hint_.question = inquiry_.ask(net::steady_now());
             }
             hint_.storeAgeS = net::steady_now() - store_.last_ok();
             hint_.live = core_.member_state() == MemberState::live;
+            // The answer and the cancellations that it vouches for are of one moment. Without a picture of the state
+            // there is no answer.
+            hint_.answered = core_.view_ready() ? questions_[to] : 0;
+            hint_.cancelled = core_.cancellations();
             return hint_;
         },
-        [this](const peers::Hint& hint) { core_.set_hint(hint, now()); });
+        [this](const peers::Hint& hint) {
+            core_.note_cancelled(hint.cancelled);
+            questions_[hint.member] = hint.question;
+            inquiry_.answered(hint.member, hint.incarnation, hint.answered);
+            core_.set_hint(hint, now());
+        });
 }
 
 void Service::spawn(asio::awaitable<void> a) {
@@ -149,7 +160,7 @@
     model::Heard h;
     h.registered = core_.member_stamp() != 0;
     h.storeAgeS = t - store_.last_ok();
-    h.contactAgeS = t - contactS_;
+    h.contactAgeS = t - std::max(contactS_, inquiry_.known_until(core_.others()));
     h.hasPeers = !settings_.members.empty();
     h.peerHeard = core_.peer_heard(now());
     h.peerHasStore = core_.peer_has_store(now());
@@ -487,6 +498,12 @@
         auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
         log_txn("users", txn, r);
         if (r.outcome == Outcome::applied) {
+            // Before anyone is told: what is confirmed here is told to the controllers that ask from now on, also while
+            // the own picture of the state does not show it yet.
+            std::vector<std::string> confirmed;
+            for (auto& op : batch)
+                if (op->kind == UserOp::withdraw) confirmed.push_back(op->id);
+            core_.note_cancelled(confirmed);
             for (auto& op : batch)
                 op->answer = op->kind == UserOp::submit ? phase_answer(201, op->id, "queued")
                                                         : phase_answer(200, op->id, "aborted");
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -7,6 +7,7 @@
 #include "cloud/client.hpp"
 #include "controller/core.hpp"
 #include "front/server.hpp"
+#include "model/inquiry.hpp"
 #include "model/standing.hpp"
 #include "peers/mesh.hpp"
 #include "store/client.hpp"
@@ -89,6 +90,8 @@
     double adriftSince_ = 0;
     double contactS_ = -1e9;   // when the last read of the state that was applied was sent
     std::uint64_t loads_ = 0;  // how often the state has been read anew: an answer from before is not applied
+    model::Inquiry inquiry_;
+    std::map<std::string, std::uint64_t> questions_;  // the newest of each other controller
     peers::Hint hint_;
     double hintAt_ = -1e9;
     double readFailedSince_ = 0;  // the first of the reads that have failed in a row; 0: the last succeeded
--- a/src/model/standing.hpp
+++ b/src/model/standing.hpp
@@ -8,7 +8,7 @@
 struct Heard {
     bool registered = false;    // our member key stands, as far as we have seen
     double storeAgeS = 0;       // since the state service last answered us, whatever it was asked
-    double contactAgeS = 0;     // since a read of the state was sent that has been applied in full
+    double contactAgeS = 0;     // since when a cancellation may have been confirmed that we do not know of
     bool hasPeers = false;      // there are other controllers
     bool peerHeard = false;     // one of them has spoken to us a moment ago
     bool peerHasStore = false;  // and says that the state service answers it
--- a/src/peers/mesh.cpp
+++ b/src/peers/mesh.cpp
@@ -18,7 +18,7 @@
 constexpr auto kPatience = std::chrono::milliseconds(1500);
 }  // namespace
 
-Mesh::Mesh(asio::io_context& io, const app::Settings& s, std::function<Hint()> own,
+Mesh::Mesh(asio::io_context& io, const app::Settings& s, std::function<Hint(const std::string& to)> own,
            std::function<void(const Hint&)> heard)
     : io_(io), settings_(s), acceptor_(io), own_(std::move(own)), heard_(std::move(heard)) {
     tcp::endpoint at(asio::ip::make_address_v4(s.internal.host), s.internal.port);
@@ -30,7 +30,7 @@
 
 void Mesh::start() {
     asio::co_spawn(io_, accept(), asio::detached);
-    for (const auto& m : settings_.members) asio::co_spawn(io_, tell(m.peer), asio::detached);
+    for (const auto& m : settings_.members) asio::co_spawn(io_, tell(m.name, m.peer), asio::detached);
 }
 
 asio::awaitable<void> Mesh::accept() {
@@ -62,13 +62,13 @@
     --open_;
 }
 
-asio::awaitable<void> Mesh::tell(app::Endpoint to) {
+asio::awaitable<void> Mesh::tell(std::string member, app::Endpoint to) {
     for (;;) {
         boost::beast::tcp_stream stream(io_);
         stream.expires_after(kPatience);
         auto [ec] = co_await stream.async_connect(tcp::endpoint(asio::ip::make_address_v4(to.host), to.port), kAwait);
         while (!ec) {
-            std::string bytes = pack(own_());
+            std::string bytes = pack(own_(member));
             stream.expires_after(kPatience);
             auto [we, n] = co_await asio::async_write(stream, asio::buffer(bytes), kAwait);
             if (we) break;
--- a/src/peers/packet.hpp
+++ b/src/peers/packet.hpp
@@ -1,4 +1,6 @@
-// What controllers tell one another: packed structs by hand. Hints only, safety never depends on them.
+// What controllers tell one another: packed structs by hand. Hints, on which safety never depends; and each one's
+// answer to the other's last question, with all cancellations that it knows to be confirmed, on which it does
+// (design.md).
 #pragma once
 
 #include <algorithm>
@@ -12,7 +14,7 @@
 namespace wellstair::peers {
 
 inline constexpr std::uint32_t kMagic = 0x77737472;  // "wstr"
-inline constexpr std::uint16_t kVersion = 3;
+inline constexpr std::uint16_t kVersion = 4;
 
 #pragma pack(push, 1)
 struct HintHeader {
@@ -23,6 +25,9 @@
     std::uint32_t hosts = 0;        // HostHint entries that follow
     std::uint64_t incarnation = 0;  // of the sender
     std::uint32_t storeAgeMs = 0;   // since the state service last answered the sender
+    std::uint32_t cancelled = 0;    // CancelledJob entries that follow the hosts
+    std::uint64_t question = 0;     // the sender's newest
+    std::uint64_t answered = 0;     // the receiver's newest that the sender has heard; 0: it cannot answer now
     char member[32] = {};
 };
 
@@ -30,9 +35,12 @@
     char name[31] = {};
     std::uint8_t deaf = 0;  // its reports arrive, the sender's answers do not reach it
 };
+struct CancelledJob {
+    char id[72] = {};
+};
 #pragma pack(pop)
 
-static_assert(sizeof(HintHeader) == 56 && sizeof(HostHint) == 32);
+static_assert(sizeof(HintHeader) == 76 && sizeof(HostHint) == 32 && sizeof(CancelledJob) == 72);
 
 struct UnusableHost {
     std::string name;
@@ -45,7 +53,10 @@
     std::uint64_t incarnation = 0;
     double storeAgeS = 0;
     bool live = false;
-    std::vector<UnusableHost> unusable;  // by name: plans ask for each machine, and a dark zone lists hundreds
+    std::vector<UnusableHost> unusable{};  // by name: plans ask for each machine, and a dark zone lists hundreds
+
+    std::uint64_t question = 0, answered = 0;
+    std::vector<std::string> cancelled{};
 
     void sort() {
         std::sort(unusable.begin(), unusable.end(), [](const auto& a, const auto& b) { return a.name < b.name; });
--- a/tests/mixed_troubles_test.cpp
+++ b/tests/mixed_troubles_test.cpp
@@ -10,6 +10,7 @@
 #include <random>
 
 #include "controller/core.hpp"
+#include "model/inquiry.hpp"
 #include "model/standing.hpp"
 #include "world.hpp"
 
@@ -55,6 +56,7 @@
     std::uint64_t incarnation = 0;
     double leaseUntil = 0;  // of its member key
     Json planned;           // the transaction of its round
+    model::Inquiry inquiry{1};
 };
 
 class Mix;
@@ -381,6 +383,7 @@
         draft.withdraw(*job, static_cast<std::int64_t>(moment().wall));
         note.asked = true;
         bool told = commit(n, draft);
+        if (told) n.core->note_cancelled({id});
         if (told && note.withdrawn < 0) note.withdrawn = now_;
         return told;
     }
@@ -467,6 +470,7 @@
         if (!n.core) {
             if (now_ < n.upAt || !has_store(n)) return;
             n.incarnation = ++incarnations_;
+            n.inquiry = model::Inquiry(n.incarnation * 1'000'000);
             n.core = std::make_unique<Core>(n.settings, controller::Tunables{}, n.incarnation);
             n.lastStore = now_;
             sync(n);
@@ -485,9 +489,12 @@
             }
             n.leaseUntil = now_ + kMemberTtlS;
         }
+        auto question = n.inquiry.ask(now_);
         for (Node& other : nodes_) {
             if (&other == &n || !other.core || now_ < other.cutPeersUntil || now_ < n.cutPeersUntil) continue;
-            if (apart(n.settings.location, other.settings.location)) continue;
+            if (apart(n.settings.location, other.settings.location) || chance(0.1)) continue;
+            n.core->note_cancelled(other.core->cancellations());
+            n.inquiry.answered(other.settings.member, other.incarnation, question);
             n.core->set_hint(other.core->own_hint(now_ - other.lastStore, moment()), moment());
         }
         judge(n);
@@ -521,7 +528,8 @@
     void judge(Node& n) {
         model::Heard h;
         h.registered = n.core->member_stamp() != 0, h.hasPeers = true;
-        h.storeAgeS = now_ - n.lastStore, h.contactAgeS = now_ - n.contact;
+        h.storeAgeS = now_ - n.lastStore;
+        h.contactAgeS = now_ - std::max(n.contact, n.inquiry.known_until(n.core->others()));
         h.peerHeard = n.core->peer_heard(moment()), h.peerHasStore = n.core->peer_has_store(moment());
         n.core->set_member_state(model::judge(n.core->member_state(), h, {kCancelS, kLeaseS}), moment());
     }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -104,7 +104,8 @@
     if (!c.refused) c.servedS = time_;
     model::Heard h;
     h.registered = c.core->member_stamp() != 0;
-    h.storeAgeS = time_ - c.servedS, h.contactAgeS = time_ - c.contactS;
+    h.storeAgeS = time_ - c.servedS;
+    h.contactAgeS = time_ - std::max(c.contactS, c.inquiry.known_until(c.core->others()));
     for (auto& [name, other] : controllers_) {
         if (&other == &c || !other.core) continue;
         h.hasPeers = true;
@@ -251,6 +252,17 @@
         return "";
     }
     if (verb == "judge") return judge(c);
+    if (verb == "ask") {  // NAME asks all others, or those named, what they have confirmed, and has their answers
+        auto question = c.inquiry.ask(time_);
+        std::set<std::string> of;
+        while (in >> arg) of.insert(arg);
+        for (auto& [each, other] : controllers_) {
+            if (&other == &c || !other.core || (!of.empty() && !of.count(each))) continue;
+            core.note_cancelled(other.core->cancellations());
+            c.inquiry.answered(each, other.core->incarnation(), question);
+        }
+        return "";
+    }
     if (verb == "due") {  // what goes straight to hosts now, of all that the controller keeps; no answers yet
         std::string out;
         for (auto& [host, orders] : core.commands_due(now())) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "controller/core.hpp"
+#include "model/inquiry.hpp"
 
 namespace wellstair::test {
 
@@ -48,6 +49,7 @@
         bool refused = false;  // the state service refuses it, alone or as it does everybody
         double contactS = 0;   // when it last read the state
         double servedS = 0;    // when the state service last answered it anything
+        model::Inquiry inquiry{1};
     };
     Controller& at(const std::string& name);
     void sync(Controller& c);
