--- a/tests/mixed_troubles_test.cpp
+++ b/tests/mixed_troubles_test.cpp
@@ -163,7 +163,6 @@
     }
     void refuse(std::size_t i, double forS) { raise(nodes_[i].cutStoreUntil, forS); }
     void cut_peers(std::size_t i, double forS) { raise(nodes_[i].cutPeersUntil, forS); }
-    void cut_workers(std::size_t i, double forS) { raise(nodes_[i].cutWorkersUntil, forS); }
     void outage(double forS) {
         for (Node& n : nodes_) raise(n.cutStoreUntil, forS);
         raise(outageUntil_, forS);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -246,7 +246,6 @@
     std::string arg;
     if (verb == "sync") return sync(c), "";
     if (verb == "refuse") return c.refused = true, "";
-    if (verb == "serve") return c.refused = false, "";
     if (verb == "serve-no-reads") {  // renewals and commits are answered, reads hang
         c.servedS = time_;
         return "";
