--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
 #include <charconv>
 #include <set>
@@ -87,6 +88,42 @@
     return nullptr;
 }
 
+StateLimits Settings::lowest_state_limits() const {
+    StateLimits limits = state_limits();
+    if (!nextState) return limits;
+    limits.valueKb = std::min(limits.valueKb, nextState->valueKb);
+    limits.writeRps = std::min(limits.writeRps, nextState->writeRps);
+    limits.txnOps = std::min(limits.txnOps, nextState->txnOps);
+    return limits;
+}
+
+namespace {
+
+// A transaction that places tasks changes a chunk, the team's parts, the placer and, of tasks bound to one another, the
+// job's record.
+constexpr int kLeastTxnOps = 4;
+
+int transaction_operations(const Reader& r, const toml::table& t, const std::string& where) {
+    int operations = r.whole(t, where, "txn_ops");
+    if (operations < kLeastTxnOps) r.fail(where + "txn_ops", "an integer of at least " + std::to_string(kLeastTxnOps));
+    return operations;
+}
+
+// `state.next`: each field may be missing and then stays as it is.
+StateLimits next_limits(const Reader& r, const toml::table& t, const StateLimits& now) {
+    const std::string where = "deployment.state.next.";
+    StateLimits next = now;
+    if (t.contains("value_kb")) next.valueKb = r.number(t, where, "value_kb", 0, true);
+    if (t.contains("write_rps")) next.writeRps = r.number(t, where, "write_rps", 0, true);
+    if (t.contains("txn_ops")) next.txnOps = transaction_operations(r, t, where);
+    // The largest value that is stored has to be divided in one transaction.
+    if (next.valueKb * next.txnOps < now.valueKb)
+        r.fail(where + "value_kb", "at least state.value_kb divided by state.next.txn_ops");
+    return next;
+}
+
+}  // namespace
+
 Settings load_settings(const std::string& path) {
     toml::table root;
     try {
@@ -144,8 +181,8 @@
     s.stateRps = r.number(st, sw, "rps", 0, true);
     s.stateWriteRps = r.number(st, sw, "write_rps", 0, true);
     s.valueKb = r.number(st, sw, "value_kb", 0, true);
-    s.txnOps = r.whole(st, sw, "txn_ops");
-    if (s.txnOps < 4) r.fail(sw + "txn_ops", "an integer of at least 4");
+    s.txnOps = transaction_operations(r, st, sw);
+    if (st.contains("next")) s.nextState = next_limits(r, r.table(st, sw, "next"), s.state_limits());
     const auto& c = r.table(d, "deployment.", "cloud");
     s.cloudRps = r.number(c, "deployment.cloud.", "rps", 0, true);
     s.listLagS = r.amount_or_0(c, "deployment.cloud.", "list_lag_s");
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -1,7 +1,9 @@
 // The settings file that the platform hands over, checked field by field. Unknown fields are ignored.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -29,6 +31,18 @@
     double withinS = 0, times = 0;
 };
 
+// What the state service takes.
+struct StateLimits {
+    double valueKb = 0, writeRps = 0;
+    int txnOps = 0;
+
+    std::size_t value_bytes() const { return static_cast<std::size_t>(valueKb * 1024); }
+    int conditions() const { return kConditionsPerOperation * txnOps; }
+    bool operator==(const StateLimits&) const = default;
+
+    static constexpr int kConditionsPerOperation = 4;
+};
+
 struct Settings {
     std::string member, location;
     Endpoint front, internal;
@@ -40,12 +54,17 @@
     double reportS = 0, leaseS = 0, gangWaitS = 0, gangPeerS = 0, cancelS = 0;
     double stateRps = 0, stateWriteRps = 0, valueKb = 0;
     int txnOps = 0;
+    // The limits that the state service will have from some moment on, announced by `state.next`.
+    std::optional<StateLimits> nextState;
     double cloudRps = 0, listLagS = 0;
     double cores = 0, ramMb = 0;
     int maxSockets = 0;
 
     int size() const { return static_cast<int>(members.size()) + 1; }
     const Team* team(const std::string& name) const;
+    StateLimits state_limits() const { return {valueKb, stateWriteRps, txnOps}; }
+    // What holds now and after the announced change alike.
+    StateLimits lowest_state_limits() const;
 };
 
 // What is wrong with a settings file, in one line.
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -31,6 +31,12 @@
 // known to be at fault for ever: rests that double without end outlasted what had caused them by minutes, while the
 // machine was free and the job could have run on any.
 constexpr double kLongestRest = 2;
+// How often a controller divides a range in a report interval: other work goes on between.
+constexpr double kDivisionsPerReport = 16;
+// Bytes of an entry of a range or chunk, by which production has divided machines and tasks among keys.
+constexpr double kEntryBytes = 80;
+// Leases for which a key is left alone after the state service has refused its value.
+constexpr double kRefusedRest = 1;
 
 }  // namespace
 
@@ -49,11 +55,8 @@
 }
 
 void Core::reset_view() {
-    // Per value: entries of at most 80 bytes as JSON. A chunk of tasks stays well below that: controllers that place
-    // tasks of one job at the same time write different chunks, and each change rewrites less.
-    auto width = static_cast<std::uint32_t>(std::max(1.0, settings_.valueKb * 1024 / 80));
-    auto chunk = std::max(1u, width / 4);
-    view_ = std::make_unique<model::View>(chunk, width);
+    const model::LayoutRecord layout = own_layout();
+    view_ = std::make_unique<model::View>(layout.chunkSize, layout.rangeWidth);
     view_->on_step = [this](Job& j, std::uint32_t i, const Step& b, const Step& a) { on_step(j, i, b, a); };
     // A new baton, ours again or somebody else's: until the host confirms it, older commands may still reach the host.
     view_->on_registered = [this](HostRecord& h) {
@@ -69,6 +72,10 @@
         mark(h);
         dirty_ = planDue_ = true;
     };
+    view_->on_removed = [this](HostRecord& h) {
+        mark(h);
+        dirty_ = planDue_ = true;
+    };
     view_->on_stop = [this](Job& job) { mark_job(job); };
     viewReady_ = false;
 }
@@ -87,7 +94,41 @@
 }
 
 Draft Core::new_draft() {
-    return Draft(*view_, settings_, settings_.member, member_stamp());
+    WriteRules rules{state_limits(), parts_allowed(), {}};
+    for (const auto& [key, until] : avoid_) rules.avoid.insert(key);
+    return Draft(*view_, settings_, std::move(rules), settings_.member, member_stamp());
+}
+
+// A chunk of tasks stays well below a value's limit: controllers that place tasks of one job at the same time write
+// different chunks, and each change rewrites less. Announced limits do not matter here: all versions and all processes
+// must agree on every key.
+model::LayoutRecord Core::own_layout() const {
+    auto width = static_cast<std::uint32_t>(std::max(1.0, settings_.valueKb * 1024 / kEntryBytes));
+    return {model::kLayoutWithParts, std::max(1u, width / 4), width};
+}
+
+model::MemberData Core::member_data() const {
+    return {incarnation_, settings_.location, model::kLayoutWithParts};
+}
+
+// Parts are written once the switch is durable; or when the state service has shown that its limits have fallen, which
+// the operators announce for after the upgrade. Production reads parts, and a division compares and changes the very
+// key that production's own changes compare: one that came back would do no harm (docs/upgrade.md).
+bool Core::parts_allowed() const {
+    return settings_.nextState && (layout_switched() || limitsFell_);
+}
+
+app::StateLimits Core::state_limits() const {
+    return parts_allowed() ? settings_.lowest_state_limits() : settings_.state_limits();
+}
+
+void Core::note_malformed(const std::vector<std::string>& keys, Moment now) {
+    if (settings_.nextState && !parts_allowed()) {
+        limitsFell_ = true;  // the same changes may fit by the lower limits
+        spdlog::info("the state service's limits have fallen: the announced ones hold from now on");
+        return;
+    }
+    for (const std::string& key : keys) avoid_[key] = now.steady + kRefusedRest * settings_.leaseS;
 }
 
 HostNotes* Core::notes(const std::string& host) {
@@ -128,10 +169,13 @@
     unsure = false;
     const app::Team* team = settings_.team(s.crew);
     if (!team) return "unknown team " + s.crew;
-    double tasks = s.shape == wire::Shape::gang ? s.steps : 1;
+    // All of a gang, and all replicas of a service, run at the same time.
+    const bool whole = s.shape == wire::Shape::gang || s.service();
+    double tasks = whole ? s.steps : 1;
     if (team->cpusMax > 0 && s.cores * tasks > team->cpusMax + 1e-9)
         return "more cores than the limit of team " + s.crew;
     if (team->gpusMax > 0 && s.gpus * tasks > team->gpusMax + 1e-9) return "more GPUs than the limit of team " + s.crew;
+    if (Draft::submission_size(s) > state_limits().value_bytes()) return "the description is larger than can be stored";
     if (view_->types().empty()) {
         unsure = true;
         return std::nullopt;
@@ -144,9 +188,9 @@
             if (!s.hall || *s.hall == hall) halls.insert(hall);
     }
     if (halls.empty()) return "a task fits no allowed machine type";
-    // All of a gang runs at once: its tasks are where they may be together, or never.
-    if (s.scatter && s.shape == wire::Shape::gang && s.steps > 1 && (s.together || halls.size() < 2))
-        return "at most half of a scattered gang may be in one zone, and it may use no other";
+    // Its tasks are where they may be together, or never.
+    if (s.scatter && whole && s.steps > 1 && (s.together || halls.size() < 2))
+        return "at most half of a scattered job's tasks may be in one zone, and it may use no other";
     return std::nullopt;
 }
 
@@ -288,21 +332,41 @@
     if (!fencedBefore || reclaimBefore != n.reclaimS.has_value()) planDue_ = true;
 }
 
+// A replica that ends again and again, for whatever cause, is tried with growing pauses; an earlier spell is forgotten
+// after two leases without an end.
+void Core::note_replica_end(const Job& job, const std::string& host, Moment now) {
+    constexpr int kEndsAtOnce = 3;  // that are restarted without a pause
+    JobNotes& notes = jobNotes_[job.id];
+    if (now.steady - notes.lastFailureS > kLongestRest * settings_.leaseS) notes = {};
+    notes.lastFailureS = now.steady;
+    notes.failedOn.insert(host);
+    if (++notes.failures <= kEndsAtOnce) return;
+    double pause = settings_.reportS * std::exp2(notes.failures - kEndsAtOnce - 1);
+    notes.notBeforeS = now.steady + std::min(pause, kLongestRest * settings_.leaseS);
+}
+
 void Core::note_end(HostNotes& n, const std::string& host, const TaskKey& key, const model::Seen& seen, Moment now) {
     using wire::Cause;
+    const Job* service = view_->job(key.first);
+    if (service && !service->service()) service = nullptr;
+    if (service && (seen.cause == Cause::done || seen.cause == Cause::error)) note_replica_end(*service, host, now);
     if (seen.cause == Cause::done) {
         n.failures = 0;
         n.failedJobs.clear();
         n.quarantineUntilS = -1e9;
-        jobNotes_.erase(key.first);
+        if (!service) jobNotes_.erase(key.first);
     } else if (seen.cause == Cause::error) {
         JobNotes& j = jobNotes_[key.first];
         j.failedOn.insert(host);
-        ++j.failures;
+        if (!service) ++j.failures;
         ++n.failures;
         n.failedJobs.insert(key.first);
         // Mostly the machine is faulty; a job that fails on machine after machine is at fault itself.
-        if (j.failedOn.size() >= 3) {
+        if (j.failedOn.size() >= 3 && service) {
+            n.failedJobs.erase(key.first);
+            if (n.failedJobs.empty()) n.failures = 0;
+            n.quarantineUntilS = now.steady + settings_.leaseS;  // left for a while all the same
+        } else if (j.failedOn.size() >= 3) {
             j.notBeforeS =
                 now.steady + std::min(settings_.reportS * std::exp2(j.failures - 2), kLongestRest * settings_.leaseS);
             n.failedJobs.erase(key.first);
@@ -324,6 +388,7 @@
     TaskKey key{job.id, index};
     if (before.host && before.host != after.host)
         if (HostNotes* n = notes(before.host->name)) n->evict.erase(key);
+    if (job.service() && before.host && !after.host) replicaLostS_[job.id] = now_.wall;
     if (before.host) {
         planDue_ = true;
         mark(*before.host);
@@ -350,7 +415,8 @@
 // A task is done or gone only by proof. Silence proves nothing, one report only what its tokens bear out.
 Core::Proof Core::proof(const HostRecord& h, const StepRef& ref) {
     Step s = ref.job->step(ref.index, view_->chunk_size());
-    if (h.gone()) return responsible(*ref.job) ? Proof::gone : Proof::none;  // the cloud's word
+    // The cloud's word. A record is removed only after that, so a task placed without comparing the range may name it.
+    if (h.gone() || h.removed()) return responsible(*ref.job) ? Proof::gone : Proof::none;
     if (!kept_here(&h)) return Proof::none;
     auto it = notes_.find(h.name);
     if (it == notes_.end()) return Proof::none;
@@ -526,7 +592,7 @@
         HostNotes* n = notes(name);
         if (!kept_here(h) || !n || h->gone()) {
             // The tasks of a machine that is gone stay due until each has been cleared by whoever is responsible.
-            it = h && h->gone() && !h->placed.empty() ? std::next(it) : due_.erase(it);
+            it = h && (h->gone() || h->removed()) && !h->placed.empty() ? std::next(it) : due_.erase(it);
             continue;
         }
         if (settled(*h, *n) && !n->needFence) {
@@ -608,6 +674,8 @@
 bool Core::tick(Moment now) {
     now_ = now;
     bool changed = false;
+    std::erase_if(replicaLostS_, [&](const auto& e) { return !view_->job(e.first); });
+    std::erase_if(avoid_, [&](const auto& e) { return e.second < now.steady; });
     std::erase_if(cancelled_, [&](const std::string& id) {
         const Job* job = view_->job(id);
         return view_->final(id) || (job && job->state == JobState::withdrawn);
@@ -657,15 +725,50 @@
     Draft draft = new_draft();
     dirty_ = false;
     if (!viewReady_ || member_ != MemberState::live || !member_stamp()) return draft;
+    if (propose_switch(draft)) return draft;
+    divide_ranges(draft, now);
     claim_hosts(draft, now);
-    clear_ended(draft, now);
-    finish_jobs(draft);
-    place(draft, now);
+    // Small transactions may be full before the last of these has had its turn: the next round then begins with it.
+    constexpr int kStages = 3;
+    for (int i = 0; i < kStages; ++i) {
+        const int stage = (firstStage_ + i) % kStages;
+        if (stage == 0) clear_ended(draft, now);
+        if (stage == 1) finish_jobs(draft);
+        if (stage == 2) place(draft, now);
+    }
+    firstStage_ = dirty_ ? (firstStage_ + 1) % kStages : 0;
     propose_returns(draft, now);
     if (draft.empty()) hand_over(draft, now);
     return draft;
 }
 
+// The layout changes once every member of the settings runs a version that can write it: each says so in its record,
+// and the switch rests on all of these.
+bool Core::propose_switch(Draft& draft) const {
+    if (!settings_.nextState || view_->layout_stamp()) return false;
+    auto ready = [&](const std::string& name) {
+        auto member = view_->members().find(name);
+        return member != view_->members().end() && member->second.layout >= model::kLayoutWithParts;
+    };
+    if (!ready(settings_.member)) return false;
+    if (!std::all_of(settings_.members.begin(), settings_.members.end(), [&](const auto& m) { return ready(m.name); }))
+        return false;
+    return draft.switch_layout(own_layout());
+}
+
+// Ranges that are larger than the announced limit allows are divided before anything has to be changed in them.
+void Core::divide_ranges(Draft& draft, Moment now) {
+    if (!parts_allowed() || now.steady - dividedS_ < settings_.reportS / kDivisionsPerReport) return;
+    for (const auto& [key, range] : view_->ranges()) {
+        if (range->size.bytes() <= state_limits().value_bytes() || avoid_.count(key)) continue;
+        if (preferred(*range) != settings_.member) continue;
+        dividedS_ = now.steady;
+        draft.divide(*range);
+        dirty_ = true;
+        return;
+    }
+}
+
 // Takes the keepership of hosts that report here, and of all others in the same range that nobody keeps; of ranges that
 // have become this controller's, before their hosts report. Their registrations are collected for a moment, since each
 // rewrites its range.
@@ -743,16 +846,47 @@
     }
 }
 
+// One replica after another: the next is moved when all others are there and have had the time to fetch their image.
+// What machines of other controllers report is not known here; the time since the start was decided stands for it.
+bool Core::may_move_replica(const Job& job, std::uint32_t index, Moment now) const {
+    if (job.open() > 0) return false;
+    for (std::uint32_t i = 0; i < job.spec->steps; ++i) {
+        if (i == index) continue;
+        Step other = job.step(i, view_->chunk_size());
+        if (!other.host) return false;
+        const double fetchS = job.spec->imageGb / view_->fetch_rate(other.host->build);
+        if (now.wall - static_cast<double>(other.atS) < fetchS + settings_.reportS) return false;
+        auto it = notes_.find(other.host->name);
+        if (it != notes_.end() && it->second.evict.count({job.id, i})) return false;
+    }
+    return true;
+}
+
+double Core::open_since(const Job& job) const {
+    auto lost = replicaLostS_.find(job.id);
+    const auto submitted = static_cast<double>(job.atS);
+    return lost == replicaLostS_.end() ? submitted : std::max(submitted, lost->second);
+}
+
+bool Core::holds_service(const HostRecord& h) const {
+    return std::any_of(h.placed.begin(), h.placed.end(),
+                       [&](const StepRef& ref) { return ref.job->service() && !cancelled(*ref.job); });
+}
+
 void Core::clear_ended(Draft& draft, Moment now) {
     for (const std::string& name : due_) {
         HostRecord* record = view_->host(name);
-        if (!record || record->placed.empty() || (!record->gone() && !kept_here(record))) continue;
+        if (!record || record->placed.empty()) continue;
+        if (!record->gone() && !record->removed() && !kept_here(record)) continue;
         auto placed = record->placed;
         HostNotes* n = notes(name);
         for (const StepRef& ref : placed) {
             // Going away, by the cloud's notice or by our own mark: stop what can save.
             if (n && (n->reclaimS || record->leaves()) && !record->gone()) {
-                if (ref.job->wide_gang()) {
+                if (ref.job->service()) {
+                    if (may_move_replica(*ref.job, ref.index, now))
+                        n->evict.try_emplace({ref.job->id, ref.index}, now.steady);
+                } else if (ref.job->wide_gang()) {
                     Step s = ref.job->step(ref.index, view_->chunk_size());
                     if (ref.job->stopAttempt != s.attempt && ref.job->state == JobState::active)
                         draft.stop_attempt(*ref.job, s.attempt);
@@ -763,6 +897,7 @@
             Proof p = proof(*record, ref);
             if (p == Proof::none) continue;
             if (p == Proof::done && ref.job->state != JobState::active) p = Proof::gone;
+            if (ref.job->service()) p = Proof::gone;  // never done: it starts again elsewhere
             // A gang completes together: one task done shows it of those, too, whose machines were lost before they
             // could say so. Counted as open, they would wait for ever for the rest of a gang that is over.
             if (ref.job->gang() && ref.job->done > 0 && ref.job->state == JobState::active) p = Proof::done;
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -93,6 +93,15 @@
     void touch() { dirty_ = true; }
     void touch_all() { dirty_ = planDue_ = true; }  // a transaction did not apply: propose it all again
     Draft new_draft();
+    // What transactions keep to: the present limits of the state service, or the lower of these and the announced ones.
+    app::StateLimits state_limits() const;
+    // The state service refused a transaction as malformed: the announced limits may hold already, and what it wrote is
+    // left alone for a while, so that nothing else waits for it.
+    void note_malformed(const std::vector<std::string>& keys, Moment now);
+    // What a registration under this process's lease says.
+    model::MemberData member_data() const;
+    // The layout of the stored keys that this process's settings lead to.
+    model::LayoutRecord own_layout() const;
 
     // --- cloud (the holder of the role)
     // This process holds it. One of the same name that has ended holds it until its lease ends: this one takes it over.
@@ -146,6 +155,10 @@
         return now.steady - n.lastReportS > kSilentReports * settings_.reportS;
     }
     static constexpr double kSilentReports = 1.6;  // intervals: they vary by a quarter, and one may be late
+    bool layout_switched() const { return view_->layout().version >= model::kLayoutWithParts; }
+    bool parts_allowed() const;
+    bool propose_switch(Draft& draft) const;
+    void divide_ranges(Draft& draft, Moment now);
     void claim_hosts(Draft& draft, Moment now);
     void hand_over(Draft& draft, Moment now);
     bool orphan(const model::HostRecord& h) const;
@@ -160,6 +173,11 @@
     bool kept_here(const model::HostRecord* h) const;
     bool usable(const model::HostRecord& h, Moment now) const;
     void on_step(model::Job& job, std::uint32_t index, const model::Step& before, const model::Step& after);
+    void note_replica_end(const model::Job& job, const std::string& host, Moment now);
+    bool may_move_replica(const model::Job& job, std::uint32_t index, Moment now) const;
+    // Since when a service has had an open replica, by the time of day.
+    double open_since(const model::Job& job) const;
+    bool holds_service(const model::HostRecord& h) const;
     void note_end(model::HostNotes& n, const std::string& host, const model::TaskKey& key, const model::Seen& seen,
                   Moment now);
 
@@ -178,6 +196,7 @@
     void order_for_machines(std::vector<Queued>& queue, const std::vector<placement::Machine>& machines,
                             Moment now) const;
     void order_within_limits(std::vector<Queued>& queue, Moment now) const;
+    void put_lost_replicas_first(std::vector<Queued>& queue) const;
     void put_long_waiting_first(std::vector<Queued>& queue, Moment now) const;
     bool has_team_room(const wire::JobSpec& spec) const;
     void spend_waited(std::map<std::string, double>& next, const Queued& q, std::uint32_t tasks, Moment now) const;
@@ -202,6 +221,7 @@
     // `act`: as far as this controller has its turn; otherwise everything, to see what lacks room.
     Plan make_plan(Moment now, bool act);
     double turn(const model::Job& job) const;
+    std::vector<std::size_t> machines_of(const model::Job& job, const std::vector<model::HostRecord*>& records) const;
     void preempt(const Plan& plan, Moment now);
     void note_arrivals(Moment now);
     placement::Request probe(const wire::JobSpec& spec, std::uint32_t count) const;
@@ -253,12 +273,18 @@
     Moment now_;
     double claimedS_ = -1e9, handedS_ = -1e9, returnsS_ = -1e9;
     std::uint64_t membersSeen_ = 0;
+    bool limitsFell_ = false;              // the state service has refused what the present limits allow
+    std::map<std::string, double> avoid_;  // keys that it refused as too large: until when they are left alone
+    double dividedS_ = -1e9;
+    int firstStage_ = 0;  // of a round: rotates while transactions are full
     struct JobNotes {
         std::set<std::string> failedOn;
         int failures = 0;
         double notBeforeS = -1e9;
+        double lastFailureS = -1e9;
     };
     std::unordered_map<std::string, JobNotes> jobNotes_;
+    std::unordered_map<std::string, double> replicaLostS_;  // services: time of day of the last loss
     // Jobs that would run but for room kept for others: since when, and when that was seen last; a moment without any
     // room, between two tasks, does not end it. Kept room is a courtesy, and may not cost a job more than two leases.
     struct HeldBack {
--- a/src/controller/draft.cpp
+++ b/src/controller/draft.cpp
@@ -13,12 +13,15 @@
 
 namespace {
 constexpr std::size_t kStepBytes = 80;  // one entry of a chunk, as JSON
-constexpr std::size_t kHostBytes = 80;  // one entry of a range, as JSON
+// How full the parts of a divided range are at first: the emptier, the longer until the next division. Fuller ones are
+// tried where the transaction has no room for as many.
+constexpr double kPartFills[] = {0.6, 0.75, 0.9, 0.98};
 constexpr std::int64_t kNoLimit = std::int64_t{1} << 60;
 }  // namespace
 
-Draft::Draft(model::View& view, const app::Settings& settings, const std::string& member, std::uint64_t memberStamp)
-    : view_(view), settings_(settings), member_(member) {
+Draft::Draft(model::View& view, const app::Settings& settings, WriteRules rules, const std::string& member,
+             std::uint64_t memberStamp)
+    : view_(view), settings_(settings), rules_(std::move(rules)), member_(member) {
     when(keys::member(member), memberStamp);
 }
 
@@ -31,9 +34,11 @@
 
 bool Draft::room(int writes, int conditions, std::size_t bytes) const {
     // A transaction may hold 64 KiB; two thirds leave room for keys and for what the estimate misses.
-    return this->writes() + writes <= settings_.txnOps &&
-           static_cast<int>(when_.size()) + conditions <= 4 * settings_.txnOps &&
-           bytes_ + bytes <= wire::kBodyLimit * 2 / 3;
+    std::size_t ranges = 0;
+    for (const auto& [key, edit] : ranges_) ranges += edit.size.bytes();
+    return this->writes() + writes <= rules_.limits.txnOps &&
+           static_cast<int>(when_.size()) + conditions <= rules_.limits.conditions() &&
+           bytes_ + ranges + bytes <= wire::kBodyLimit * 2 / 3;
 }
 
 bool Draft::has(const std::string& path) const {
@@ -126,15 +131,28 @@
     when(range.key, range.stamp);
 }
 
+namespace {
+
+Json submission(const wire::JobSpec& spec, std::int64_t atS) {
+    return {{"s", to_json(spec)}, {"at", atS}};
+}
+
+}  // namespace
+
+std::size_t Draft::submission_size(const wire::JobSpec& spec) {
+    constexpr std::int64_t kAnyTimeOfDay = 9'999'999'999;  // as many digits as any that is written
+    return submission(spec, kAnyTimeOfDay).dump().size();
+}
+
 bool Draft::submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS) {
     if (has(keys::active(spec.ref))) return true;
-    Json body = {{"s", to_json(spec)}, {"at", atS}};
+    Json body = submission(spec, atS);
     std::size_t bytes = body.dump().size() + 200;
     if (!room(2, 2, bytes)) return false;
     bytes_ += bytes;
     when(keys::job(spec.ref), 0);
     set(keys::job(spec.ref), std::move(body));
-    set(keys::active(spec.ref), {{"o", owner}});
+    set(keys::active(spec.ref), model::ActiveRecord{owner, std::nullopt, false, 0}.encode());
     about_.push_back("submit " + spec.ref + " " + spec.lane + " of " + spec.crew);
     return true;
 }
@@ -144,7 +162,7 @@
     if (!room(1, 1, 100)) return false;
     bytes_ += 100;
     when(keys::active(job.id), job.activeStamp);
-    set(keys::active(job.id), {{"o", job.owner}, {"w", true}, {"t", atS}});
+    set(keys::active(job.id), model::ActiveRecord{job.owner, std::nullopt, true, atS}.encode());
     about_.push_back("withdraw " + job.id);
     return true;
 }
@@ -154,7 +172,7 @@
     if (!room(1, 1, 100)) return false;
     bytes_ += 100;
     when(keys::active(job.id), job.activeStamp);
-    set(keys::active(job.id), {{"o", job.owner}, {"stop", attempt}});
+    set(keys::active(job.id), model::ActiveRecord{job.owner, attempt, false, 0}.encode());
     about_.push_back("stop " + job.id);
     return true;
 }
@@ -176,14 +194,30 @@
     // Tasks bound to one another by zone are checked against the whole job: its chunks must not change apart.
     bool bound = (job.spec->together || job.spec->scatter) && job.chunks.size() > 1;
     if (bound) ++fresh;
-    if (!room(fresh, static_cast<int>(ranges.size() + chunks.size() + 3 + settings_.size()),
-              kStepBytes * tasks.size() + chunks.size() * 200))
-        return false;
+    std::size_t bytes = kStepBytes * tasks.size() + chunks.size() * 200;
+    int conditions = static_cast<int>(chunks.size() + 3) + settings_.size();
+    bool onRanges = room(fresh, conditions + static_cast<int>(ranges.size()), bytes);
+    // A wide gang on as many ranges has more keys to compare than a transaction may under lower limits. The ranges are
+    // compared so that fewer placements turn out stale; what makes a stale one harmless is the baton that it names: a
+    // keeper starts nothing under another one, and an absent task of another baton, or on a machine whose record was
+    // removed, is proven to be gone. Earlier versions rely on the comparison, so it stays until none can run.
+    bool wideUnderLowLimits = rules_.parts && tasks.size() > 1;
+    if (!onRanges && !(wideUnderLowLimits && room(fresh, conditions, bytes))) return false;
+    for (std::uint32_t c : chunks) {
+        std::size_t more = 0;
+        for (const auto& [index, host] : tasks)
+            if (view_.chunk_of(index) == c)
+                more +=
+                    model::ChunkRecord::Entry{
+                        index % view_.chunk_size(), attempt, host->name, host->baton, atS, member_}
+                        .size_bound();
+        if (!chunk_has_room(job, c, more)) return true;  // waits until others of its chunk have ended
+    }
     auto n = static_cast<std::int64_t>(tasks.size());
     if (!charge(job.spec->crew, {n * model::milli(job.spec->cores), n * model::milli(job.spec->gpus)})) return true;
     if (bound && !has(keys::active(job.id))) {
         when(keys::active(job.id), job.activeStamp);
-        set(keys::active(job.id), {{"o", job.owner}, {"stop", job.stopAttempt}});
+        set(keys::active(job.id), model::ActiveRecord{job.owner, job.stopAttempt, false, 0}.encode());
     }
     for (const auto& [index, host] : tasks) {
         Step& s = edit(job, view_.chunk_of(index))[index % view_.chunk_size()];
@@ -193,18 +227,26 @@
         s.baton = host->baton;
         s.atS = atS;
         s.payer = member_;
-        rest_on(*host->range);
+        if (onRanges) rest_on(*host->range);
     }
     bytes_ += kStepBytes * tasks.size();
     about_.push_back("place " + job.id);
     return true;
 }
 
+bool Draft::chunk_has_room(Job& job, std::uint32_t c, std::size_t more) {
+    if (rules_.avoid.count(keys::chunk(job.id, c))) return false;
+    auto it = chunks_.find({&job, c});
+    const std::vector<Step>& steps = it == chunks_.end() ? job.chunks[c].steps : it->second;
+    return model::View::chunk_record(steps).size_bound() + more <= rules_.limits.value_bytes();
+}
+
 bool Draft::clear(Job& job, std::uint32_t index, StepState to) {
     std::uint32_t c = view_.chunk_of(index);
+    if (rules_.avoid.count(keys::chunk(job.id, c))) return true;
     if (!room(!chunks_.count({&job, c}), 4, kStepBytes * (job.chunks[c].placed + 1) + 100)) return false;
     Step& s = edit(job, c)[index % view_.chunk_size()];
-    rest_on(*s.host->range);
+    if (s.host->range) rest_on(*s.host->range);  // else its record was removed, for good
     about_.push_back("clear " + wire::step_name(job.id, index) + " from " + s.host->name);
     s.state.become(to);
     s.host = nullptr;
@@ -217,9 +259,11 @@
 bool Draft::finish(Job& job, JobState to) {
     int chunks = 0;
     for (const auto& c : job.chunks) chunks += c.stamp != 0;
-    bool all = room(2 + chunks, 1 + static_cast<int>(job.chunks.size()), 400);
+    int conditions = 1 + static_cast<int>(job.chunks.size());
+    bool all = room(2 + chunks, conditions, 400);
     // A job of many chunks leaves them behind for the sweep: what says that it is over fits one transaction always.
-    if (!all && !(writes() == 0 && room(2, 1, 400))) return false;
+    bool never = 2 + chunks > rules_.limits.txnOps || conditions >= rules_.limits.conditions();
+    if (!all && !((never || writes() == 0) && room(2, 1, 400))) return false;
     when(keys::active(job.id), job.activeStamp);
     set(keys::job(job.id), {{"f", to == JobState::done ? "done" : "aborted"}});
     removes_.insert(keys::active(job.id));
@@ -240,33 +284,109 @@
     return true;
 }
 
-Draft::RangeEdit* Draft::edit_range(model::HostRange& range, std::size_t more) {
+void Draft::RangeEdit::set(const model::HostEntry& host) {
+    erase(host.name);
+    size.add(host);
+    hosts[host.name] = host;
+}
+
+void Draft::RangeEdit::erase(const std::string& name) {
+    auto it = hosts.find(name);
+    if (it == hosts.end()) return;
+    size.remove(it->second);
+    hosts.erase(it);
+}
+
+model::HostRange& Draft::range_for(const std::string& host, model::HostRange& range) {
+    auto it = moved_.find(host);
+    return it == moved_.end() ? range : view_.range_entry(it->second);
+}
+
+Draft::RangeEdit* Draft::edit_range(model::HostRange& range) {
     auto it = ranges_.find(range.key);
-    if (it == ranges_.end()) {
-        if (!room(1, 1, kHostBytes * (range.hosts.size() + more) + 200)) return nullptr;
-        it = ranges_.try_emplace(range.key).first;
-        for (const model::HostRecord* h : range.hosts) it->second[h->name] = *h;
-        bytes_ += kHostBytes * range.hosts.size() + 200;
-        rest_on(range);
-    } else if (!room(0, 0, kHostBytes * more)) {
-        return nullptr;
-    }
-    bytes_ += kHostBytes * more;
+    if (it != ranges_.end()) return &it->second;
+    if (!room(1, 1, range.size.bytes())) return nullptr;
+    it = ranges_.try_emplace(range.key).first;
+    for (const model::HostRecord* h : range.hosts) it->second.set(*h);
+    rest_on(range);
     return &it->second;
 }
 
-bool Draft::register_host(model::HostRange& range, const model::HostEntry& next, std::uint64_t atLeast) {
-    RangeEdit* edit = edit_range(range, 1);
-    if (!edit) return false;
-    model::HostEntry& h = (*edit)[next.name];
-    std::uint64_t before = std::max(h.baton, atLeast);
-    h = next;
-    // Above every earlier one: those were at most one above a revision that this view has seen, or are known here.
-    h.baton = std::max(view_.epoch(), before) + 1;
-    about_.push_back("claim " + h.name);
+// The machines of an edit in as many parts as needed, none filled by more than `fill`.
+std::optional<std::vector<Draft::RangeEdit>> Draft::pack(const RangeEdit& edit, std::size_t most, double fill) const {
+    const auto limit = static_cast<std::size_t>(fill * static_cast<double>(rules_.limits.value_bytes()));
+    std::vector<RangeEdit> parts(1);
+    for (const auto& [name, host] : edit.hosts) {
+        parts.back().set(host);
+        if (parts.back().size.bytes() <= limit) continue;
+        if (parts.size() == most || parts.back().hosts.size() == 1) return std::nullopt;
+        parts.back().erase(name);
+        parts.emplace_back().set(host);
+    }
+    return parts;
+}
+
+bool Draft::keep_within_limit(model::HostRange& range) {
+    const RangeEdit& edit = ranges_.at(range.key);
+    if (!rules_.parts || edit.size.bytes() <= rules_.limits.value_bytes()) return room(0, 0, 0);
+    auto most = static_cast<std::size_t>(std::max(0, rules_.limits.txnOps - writes())) + 1;
+    std::optional<std::vector<RangeEdit>> parts;
+    for (double fill : kPartFills) {
+        parts = pack(edit, most, fill);
+        if (parts) break;
+    }
+    if (!parts) return false;
+    int more = static_cast<int>(parts->size()) - 1;
+    if (!room(more, more, 0)) return false;
+    // The machines that stay are the first by name; the others move to parts whose keys sort behind this one.
+    std::uint32_t number = view_.next_part(range);
+    ranges_[range.key] = std::move(parts->front());
+    for (std::size_t i = 1; i < parts->size(); ++i) {
+        std::string key = keys::range_part(range.key, number);
+        while (ranges_.count(key)) key = keys::range_part(range.key, ++number);
+        for (const auto& [name, host] : (*parts)[i].hosts) moved_[name] = key;
+        rest_on(view_.range_entry(key));
+        ranges_[key] = std::move((*parts)[i]);
+    }
+    about_.push_back("divide " + range.key + " into " + std::to_string(parts->size()));
     return true;
 }
 
+template <typename Change>
+bool Draft::update(model::HostRange& given, const std::string& host, Change change) {
+    model::HostRange& range = range_for(host, given);
+    if (rules_.avoid.count(range.key)) return true;
+    const bool fresh = !ranges_.count(range.key), compared = when_.count(range.key) > 0;
+    RangeEdit* edit = edit_range(range);
+    if (!edit) return false;
+    std::optional<model::HostEntry> before;
+    if (auto it = edit->hosts.find(host); it != edit->hosts.end()) before = it->second;
+    change(*edit);
+    if (keep_within_limit(range)) return true;
+    if (fresh) {
+        ranges_.erase(range.key);
+        if (!compared) when_.erase(range.key);
+    } else if (before) {
+        edit->set(*before);
+    } else {
+        edit->erase(host);
+    }
+    return false;
+}
+
+bool Draft::register_host(model::HostRange& range, const model::HostEntry& next, std::uint64_t atLeast) {
+    bool fits = update(range, next.name, [&](RangeEdit& edit) {
+        model::HostEntry entry = next;
+        auto known = edit.hosts.find(next.name);
+        std::uint64_t before = std::max(known == edit.hosts.end() ? 0 : known->second.baton, atLeast);
+        // Above every earlier one: those were at most one above a revision that this view has seen, or are known here.
+        entry.baton = std::max(view_.epoch(), before) + 1;
+        edit.set(entry);
+    });
+    if (fits) about_.push_back("claim " + next.name);
+    return fits;
+}
+
 bool Draft::claim(const wire::Report& r, const std::string& keeper, std::uint64_t incarnation) {
     model::HostRecord* known = view_.host(r.host);
     model::HostRange& range = known && known->range ? *known->range : view_.range_of(r.host, r.hall);
@@ -287,21 +407,35 @@
                         const std::string& why) {
     model::HostRecord* known = view_.host(host);
     model::HostRange& range = known && known->range ? *known->range : view_.range_of(host, hall);
-    RangeEdit* edit = edit_range(range, 1);
-    if (!edit) return false;
-    model::HostEntry& h = (*edit)[host];
-    h.name = host;
-    h.leaving = gone ? model::Leaving::gone : std::max(h.leaving, model::Leaving::marked);
-    h.leavingAtS = atS;
-    about_.push_back((gone ? "returned " : "return (" + why + ") ") + host);
-    return true;
+    bool fits = update(range, host, [&](RangeEdit& edit) {
+        auto entry = edit.hosts.find(host);
+        model::HostEntry next = entry == edit.hosts.end() ? model::HostEntry{} : entry->second;
+        next.name = host;
+        next.leaving = gone ? model::Leaving::gone : std::max(next.leaving, model::Leaving::marked);
+        next.leavingAtS = atS;
+        edit.set(next);
+    });
+    if (fits) about_.push_back((gone ? "returned " : "return (" + why + ") ") + host);
+    return fits;
 }
 
 bool Draft::forget_host(model::HostRecord& h) {
-    RangeEdit* edit = edit_range(*h.range, 0);
-    if (!edit) return false;
-    edit->erase(h.name);
-    about_.push_back("forget " + h.name);
+    std::string name = h.name;
+    bool fits = update(*h.range, name, [&](RangeEdit& edit) { edit.erase(name); });
+    if (fits) about_.push_back("forget " + name);
+    return fits;
+}
+
+bool Draft::divide(model::HostRange& range) {
+    return update(range, "", [](RangeEdit&) {});
+}
+
+bool Draft::switch_layout(const model::LayoutRecord& layout) {
+    if (!room(1, 1 + static_cast<int>(view_.members().size()), 200)) return false;
+    for (const auto& [name, member] : view_.members()) when(keys::member(name), member.stamp);
+    when(keys::kLayout, view_.layout_stamp());
+    set(keys::kLayout, layout.encode());
+    about_.push_back("switch to layout " + std::to_string(layout.version));
     return true;
 }
 
@@ -325,21 +459,17 @@
     };
     for (const auto& [path, data] : sets_) add(path, data);
     for (const auto& [key, steps] : chunks_)
-        add(keys::chunk(key.first->id, key.second), model::View::encode_chunk(steps));
+        add(keys::chunk(key.first->id, key.second), model::View::chunk_record(steps).encode());
     for (const auto& [key, edit] : ranges_) {
         std::vector<model::HostEntry> hosts;
-        for (const auto& [name, h] : edit) hosts.push_back(h);
+        for (const auto& [name, h] : edit.hosts) hosts.push_back(h);
         if (hosts.empty())
             apply.push_back({{"remove", key}});
         else
-            add(key, model::View::encode_range(hosts));
-    }
-    for (const auto& [team, charge] : charges_) {
-        if (!charge.moved) continue;
-        Json parts = Json::object();
-        for (const auto& [member, part] : charge.parts) parts[member] = Json::array({part.cores, part.gpus});
-        add(keys::team(team), std::move(parts));
+            add(key, model::encode_range(hosts));
     }
+    for (const auto& [team, charge] : charges_)
+        if (charge.moved) add(keys::team(team), model::encode_team_parts(charge.parts));
     if (!charges_.empty()) add(keys::placer(member_), Json::object());
     for (const std::string& path : removes_) apply.push_back({{"remove", path}});
     Txn txn;
--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "controller/core.hpp"
+#include "controller/estimates.hpp"
 
 namespace wellstair::controller {
 
@@ -59,10 +60,19 @@
     });
     order_for_machines(out, machines, now);
     order_within_limits(out, now);
+    put_lost_replicas_first(out);
     put_long_waiting_first(out, now);
     return out;
 }
 
+// A service that has lost a replica goes before new work of its rank: its users notice at once.
+void Core::put_lost_replicas_first(std::vector<Queued>& queue) const {
+    std::vector<std::pair<std::pair<int, bool>, Queued>> keyed;
+    for (const Queued& q : queue) keyed.push_back({{q.rank, !q.job->lost_replica()}, q});
+    std::stable_sort(keyed.begin(), keyed.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (std::size_t i = 0; i < queue.size(); ++i) queue[i] = keyed[i].second;
+}
+
 // No order by rank, due time or size may keep a job waiting without end: who has waited for many leases goes first, the
 // longest wait before the others, and is promised the next room wide enough for it. They get a part of the room that
 // gets free, no more: under lasting overload many have waited for long, and nothing else would be in time. By age alone
@@ -72,7 +82,7 @@
     for (Queued& q : queue) {
         const Job& job = *q.job;
         bool begun = job.placed + job.done > 0;
-        if (begun && job.gang()) continue;
+        if (begun && (job.gang() || job.service())) continue;
         double leases = begun ? kBegunLeases : job.wide_gang() ? kGangWaitedLeases : kWaitedLeases;
         if (now.wall - job.atS < leases * settings_.leaseS) continue;
         if (has_team_room(*job.spec)) waiting.push_back(&q);
@@ -114,7 +124,7 @@
 // jobs of a team at its limit took all of that limit, and none of its others was in time.
 void Core::spend_waited(std::map<std::string, double>& next, const Queued& q, std::uint32_t tasks, Moment now) const {
     const wire::JobSpec& s = *q.job->spec;
-    double turnover = s.expectS / (q.job->wide_gang() ? kGangPart : kWaitedPart);
+    double turnover = turnover_s(s, settings_) / (q.job->wide_gang() ? kGangPart : kWaitedPart);
     auto spend = [&](const std::string& whose, double share) {
         double& at = next[whose];
         at = std::max(at, now.steady) + share * turnover;
@@ -203,12 +213,13 @@
         for (std::size_t i : places) {
             const Job& job = *queue[i].job;
             const wire::JobSpec& s = *job.spec;
-            double remaining = job.open() * s.expectS;
+            const double runS = turnover_s(s, settings_);
+            double remaining = job.open() * runS;
             for (const auto& chunk : job.chunks)
                 if (chunk.placed)
                     for (const Step& step : chunk.steps)
                         if (step.state == StepState::placed)
-                            remaining += std::max(s.expectS / 5, s.expectS - (now.wall - step.atS));
+                            remaining += std::max(runS / 5, runS - (now.wall - step.atS));
             wanted += size(s) * (s.steps - job.done);
             placement::DueJob d{remaining * size(s), s.expectS, due_times(s, queue[i].beyond)};
             for (double& due : d.due) due -= now.wall - job.atS;
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "controller/core.hpp"
+#include "controller/estimates.hpp"
 
 namespace wellstair::controller {
 
@@ -30,6 +31,10 @@
 // What plans look at, as ratios; see Core::make_plan.
 constexpr std::uint64_t kPromiseLooks = 4096;  // machines looked at for promises in one plan
 
+// Report intervals after which a silent machine that holds a replica is returned: the cloud's word is a sooner proof
+// than the lease. A machine that is well is never quiet for as long.
+constexpr double kServiceSilentReports = 2;
+
 bool allows(const wire::JobSpec& s, const std::string& build, const std::string& hall, bool loaner) {
     if (s.builds && std::find(s.builds->begin(), s.builds->end(), build) == s.builds->end()) return false;
     if (s.hall && *s.hall != hall) return false;
@@ -64,6 +69,8 @@
     w.w = tunables_.leaWeight > 0 ? tunables_.leaWeight : static_cast<double>(machines);
     w.gpuCareS = settings_.reportS / 3;
     w.packCareS = settings_.reportS / 2;
+    w.apartMachineS = 2 * settings_.reportS;
+    w.apartHallS = settings_.reportS / 2;
     w.mode = tunables_.mode;
     return w;
 }
@@ -105,7 +112,7 @@
         for (const StepRef& ref : h->placed) {
             const wire::JobSpec& s = *ref.job->spec;
             Step step = ref.job->step(ref.index, view_->chunk_size());
-            double until = step.atS + s.imageGb / m.fetchGbPerS + s.expectS;
+            double until = step.atS + s.imageGb / m.fetchGbPerS + occupied_s(s);
             // Overdue by its estimate: expect a part of the estimate more.
             until = std::max(until, now.wall + std::max(settings_.reportS, s.expectS / 5));
             if (n && n->evict.count({ref.job->id, ref.index})) until = now.wall + s.flushS + settings_.reportS / 2;
@@ -123,13 +130,14 @@
     r.need = need_of(s);
     r.image = s.bundle;
     r.imageGb = s.imageGb;
-    r.expectS = std::max(s.expectS, 0.1);
+    r.expectS = std::max(occupied_s(s), 0.1);
+    r.apart = s.service() && s.steps > 1;
     r.together = s.together;
     r.scatter = s.scatter;
     r.scatterCap = (s.steps + 1) / 2;
     r.allowed.reserve(kinds_.size());
     for (const Kind& k : kinds_) r.allowed.push_back(allows(s, k.build, k.hall, k.loaner));
-    if ((s.together || s.scatter) && job.placed > 0) {
+    if ((s.together || s.scatter || r.apart) && job.placed > 0) {
         std::map<std::uint32_t, std::uint32_t> halls;
         for (const auto& chunk : job.chunks)
             for (const Step& step : chunk.steps)
@@ -164,17 +172,33 @@
     return r;
 }
 
+// The machines that replicas of the job are on, once for each.
+std::vector<std::size_t> Core::machines_of(const Job& job, const std::vector<HostRecord*>& records) const {
+    std::vector<std::size_t> out;
+    for (const auto& chunk : job.chunks)
+        for (const Step& step : chunk.steps) {
+            if (!step.host) continue;
+            auto at = std::find(records.begin(), records.end(), step.host);
+            if (at != records.end()) out.push_back(static_cast<std::size_t>(at - records.begin()));
+        }
+    return out;
+}
+
 // When this controller may place tasks of a job, time of day. The tasks of a wide batch are left to the controller that
 // is responsible for it, then to the others one after the other: placed by all at once, all but one would be refused by
 // the state service and plan again.
 double Core::turn(const Job& job) const {
     const wire::JobSpec& s = *job.spec;
-    if (job.gang() || s.steps == 1 || responsible(job)) return 0;
+    if (job.gang() || (s.steps == 1 && !job.service()) || responsible(job)) return 0;
     double after = 1;
     auto mine = mix(settings_.member, job.id);
     for (const auto& m : settings_.members)
         if (m.name != job.owner && mix(m.name, job.id) < mine) ++after;
-    return static_cast<double>(job.atS) + 1 + after * settings_.reportS / 16;
+    after *= settings_.reportS / 16;
+    // All replicas of a service are placed by its responsible controller, on any machine; by others only if it does
+    // not.
+    if (job.service()) return open_since(job) + settings_.reportS + after;
+    return static_cast<double>(job.atS) + 1 + after;
 }
 
 Core::Plan Core::make_plan(Moment now, bool act) {
@@ -196,7 +220,7 @@
     }
     for (const auto& [order, job] : view_->queue()) {
         const wire::JobSpec& s = *job->spec;
-        double tasks = job->gang() ? s.steps : 1;
+        double tasks = job->gang() || job->service() ? s.steps : 1;
         Urgent& u = urgent_[{s.crew, static_cast<int>(s.rank)}];
         u.cores = std::max(u.cores, s.cores * tasks);
         u.gpus = std::max(u.gpus, s.gpus * tasks);
@@ -277,6 +301,7 @@
                 if (chunk.steps.empty() || chunk.steps[i].state == StepState::open) open.push_back(base + i);
         }
         placement::Request r = request_of(job);
+        if (r.apart) r.onMachines = machines_of(job, plan.records);
         r.count = gang ? s.steps : static_cast<std::uint32_t>(open.size());
         if (r.count == 0) continue;
         bool startOnly = planner.looked() > kPromiseLooks && !q.waited;
@@ -333,8 +358,10 @@
     preempt(plan, now);
     for (const auto& start : plan.starts) {
         bool wide = start.tasks.size() > 1;
-        if (wide ? !responsible(*start.job) : !kept_here(start.tasks.front().second)) {
-            if (!wide && start.job->spec->steps == 1) {
+        bool mine = !wide && kept_here(start.tasks.front().second);
+        bool whole = wide || start.job->service();  // placed on machines of any keeper
+        if (whole ? !mine && !responsible(*start.job) : !mine) {
+            if (!whole && start.job->spec->steps == 1) {
                 HostRecord* h = start.tasks.front().second;
                 auto [it, fresh] = doubts_.try_emplace(h->name, now.steady);
                 if (!fresh && now.steady - it->second > 4 * settings_.reportS) it->second = now.steady;
@@ -383,12 +410,12 @@
             for (const StepRef& ref : plan.records[i]->placed) {
                 const wire::JobSpec& v = *ref.job->spec;
                 bool lower = v.rank > s.rank;
-                bool borrowed = !u.beyond && v.crew != s.crew && beyond.count(ref.job);
+                bool borrowed = !u.beyond && v.crew != s.crew && beyond.count(ref.job) && !v.service();
                 if (!lower && !borrowed) continue;
                 if (ref.job == u.job || ref.job->wide_gang() || taken.count({ref.job, ref.index})) continue;
                 double ran = now.wall - ref.job->step(ref.index, view_->chunk_size()).atS;
-                double lost = v.snapshotS > 0 ? v.flushS : ran;
-                double left = v.expectS - ran;
+                double lost = v.service() ? v.imageGb / m.fetchGbPerS : v.snapshotS > 0 ? v.flushS : ran;
+                double left = occupied_s(v) - ran;
                 victims.push_back({ref, lost + (left < settings_.reportS ? v.expectS : 0) + settings_.reportS});
             }
             Need free = placement::free_at(m, now.wall);
@@ -613,13 +640,17 @@
             now.steady - n.lastReportS > noticed && 3 * quiet <= all &&
             std::any_of(h->placed.begin(), h->placed.end(), [](const StepRef& ref) { return ref.job->wide_gang(); });
         // Where half of all is silent, it is rather this controller that is cut off, and others take them over.
-        bool cancelled = 2 * quietHere < allHere && holds_cancelled(*h, n, now);
-        if (faulty || lost || deaf || holdsUp || cancelled) {
+        const bool cutOff = 2 * quietHere >= allHere;
+        bool cancelled = !cutOff && holds_cancelled(*h, n, now);
+        bool service = !cutOff && 3 * quiet <= all && n.state == HostState::silent &&
+                       now.steady - n.lastReportS > kServiceSilentReports * settings_.reportS && holds_service(*h);
+        if (faulty || lost || deaf || holdsUp || cancelled || service) {
             bool saves = (faulty || deaf) && !cancelled;
             const char* why = faulty    ? "faulty"
                               : lost    ? "lost"
                               : deaf    ? "deaf"
                               : holdsUp ? "silent, holds up a gang"
+                              : service ? "silent, holds a replica"
                                         : "silent, holds a cancelled task";
             if (!draft.mark_return(name, h->hall, saves ? at : lostAt, false, why)) return;
         }
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -52,9 +52,8 @@
     return {503, {{"error", why}}, 1};
 }
 
-Json registration(const std::string& name, std::uint64_t stamp, std::uint64_t incarnation, const std::string& zone,
-                  std::uint64_t hold) {
-    Json data = {{"inc", incarnation}, {"zone", zone}};
+Json registration(const std::string& name, std::uint64_t stamp, const model::MemberData& member, std::uint64_t hold) {
+    Json data = member.encode();
     return {{"when", Json::array({{{"path", keys::member(name)}, {"stamp", stamp}}})},
             {"apply", Json::array({{{"set", keys::member(name)}, {"data", data}, {"hold", hold}}})}};
 }
@@ -65,6 +64,18 @@
     return {{"builds", std::move(list)}};
 }
 
+// The keys that a transaction writes, and for the log their values' sizes.
+std::vector<std::string> written_keys(const Txn& txn, std::string& sizes) {
+    std::vector<std::string> out;
+    for (const Json& op : txn.body["apply"]) {
+        const bool set = op.contains("set");
+        out.push_back(op[set ? "set" : "remove"].get<std::string>());
+        sizes += (sizes.empty() ? "" : ", ") + out.back();
+        if (set) sizes += " (" + std::to_string(op["data"].dump().size()) + " bytes)";
+    }
+    return out;
+}
+
 void log_txn(const char* what, const Txn& txn, const store::CommitResult& r) {
     if (!spdlog::should_log(spdlog::level::debug)) return;
     static constexpr const char* outcomes[] = {"applied",     "conflict", "no lease", "busy",
@@ -199,7 +210,7 @@
         if (!core_.member_stamp()) {
             auto it = core_.view().members().find(settings_.member);
             std::uint64_t stamp = it == core_.view().members().end() ? 0 : it->second.stamp;
-            Json txn = registration(settings_.member, stamp, core_.incarnation(), settings_.location, hold_);
+            Json txn = registration(settings_.member, stamp, core_.member_data(), hold_);
             auto r = co_await store_.commit(txn, 1, kStoreTimeoutS);
             if (r.outcome == Outcome::no_lease) hold_ = 0;
             if (r.outcome == Outcome::applied) {
@@ -260,6 +271,9 @@
         if (r.kind != store::FollowResult::ok) co_return false;
         apply(r);
     } while (core_.view().epoch() < range->second);
+    const model::LayoutRecord stored = core_.view().layout(), own = core_.own_layout();
+    if (stored.version && (stored.chunkSize != own.chunkSize || stored.rangeWidth != own.rangeWidth))
+        throw std::runtime_error("state.value_kb differs from the one that the stored keys were made with");
     core_.set_view_ready(true);
     changed_.notify();
     spdlog::info("read the state at revision {}: {} open jobs, {} hosts", core_.view().epoch(),
@@ -347,6 +361,25 @@
     co_return ok;
 }
 
+asio::awaitable<store::CommitResult> Service::commit(const char* what, const Txn& txn) {
+    auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
+    log_txn(what, txn, r);
+    if (r.outcome == Outcome::malformed) {
+        std::string sizes;
+        std::vector<std::string> keys = written_keys(txn, sizes);
+        spdlog::error("the state service refused {} operations, {} conditions: {}", txn.writes, txn.body["when"].size(),
+                      sizes);
+        core_.note_malformed(keys, now());
+        follow_limits();
+    }
+    co_return r;
+}
+
+// The rate of writes follows the limits that hold now.
+void Service::follow_limits() {
+    store_.set_write_rate(core_.state_limits().writeRps);
+}
+
 // Our own transaction directly follows what we have seen: its changes are known without reading them back.
 void Service::apply_own(const Txn& txn, std::uint64_t epoch) {
     if (epoch != core_.view().epoch() + 1) return;
@@ -390,8 +423,7 @@
             cost = net::steady_now() - began;
             if (!draft.empty()) {
                 Txn txn = draft.build();
-                auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
-                log_txn("round", txn, r);
+                auto r = co_await commit("round", txn);
                 if (r.outcome == Outcome::applied) {
                     apply_own(txn, r.epoch);
                     co_await caught_up(r.epoch, 2 * kStoreTimeoutS);
@@ -417,6 +449,7 @@
     for (;;) {
         co_await net::sleep_for(io_, 0.25);
         judge_standing();
+        follow_limits();
         // Connections to machines that are gone, or kept elsewhere, would use up the sockets in the long run.
         channels_.prune([this](const std::string& host) { return core_.notes(host) != nullptr; });
     }
@@ -495,8 +528,7 @@
             continue;
         }
         Txn txn = draft.build();
-        auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
-        log_txn("users", txn, r);
+        auto r = co_await commit("users", txn);
         if (r.outcome == Outcome::applied) {
             // Before anyone is told: what is confirmed here is told to the controllers that ask from now on, also while
             // the own picture of the state does not show it yet.
@@ -625,7 +657,7 @@
 asio::awaitable<void> Service::apply_draft(Draft draft) {
     if (draft.empty()) co_return;
     Txn txn = draft.build();
-    auto r = co_await store_.commit(txn.body, txn.writes, kStoreTimeoutS);
+    auto r = co_await commit("cloud", txn);
     if (r.outcome == Outcome::no_lease) hold_ = 0;
     if (r.outcome == Outcome::applied)
         co_await caught_up(r.epoch, kStoreTimeoutS);
@@ -650,9 +682,14 @@
             auto types = co_await cloud_.types();
             if (types) {
                 typesAt = t;
-                Draft d = core_.new_draft();
-                d.put(keys::kTypes, core_.view().types_stamp(), type_list(*types), 0);
-                co_await apply_draft(std::move(d));
+                Json list = type_list(*types);
+                if (const std::size_t size = list.dump().size(); size > core_.state_limits().value_bytes()) {
+                    spdlog::error("{} of {} bytes is larger than a value may be: not written", keys::kTypes, size);
+                } else {
+                    Draft d = core_.new_draft();
+                    d.put(keys::kTypes, core_.view().types_stamp(), std::move(list), 0);
+                    co_await apply_draft(std::move(d));
+                }
             }
         }
         if (t - listAt > std::max(2.0, settings_.listLagS / 2)) {
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -61,6 +61,8 @@
     // cloud
     asio::awaitable<void> cloud_work();
     asio::awaitable<void> apply_draft(Draft draft);
+    asio::awaitable<store::CommitResult> commit(const char* what, const Txn& txn);
+    void follow_limits();
 
     // front
     asio::awaitable<front::Response> on_submit(std::string body);
--- /dev/null
+++ b/src/model/records.cpp
@@ -0,0 +1,224 @@
+#include "model/records.hpp"
+
+#include <algorithm>
+
+namespace wellstair::model {
+namespace {
+
+// The length of a text as JSON writes it, quotes included; an upper bound if it holds characters to be escaped.
+std::size_t quoted_size(const std::string& text) {
+    constexpr std::size_t kEscaped = 6;  // \u0001
+    std::size_t size = 2;
+    for (unsigned char c : text) size += c < 0x20 || c == '"' || c == '\\' || c >= 0x7f ? kEscaped : 1;
+    return size;
+}
+
+std::size_t digits(std::uint64_t number) {
+    std::size_t n = 1;
+    for (; number >= 10; number /= 10) ++n;
+    return n;
+}
+
+// The place of a value in a table, which it is added to if it is new.
+int place_in(Json& table, Json value) {
+    for (std::size_t i = 0; i < table.size(); ++i)
+        if (table[i] == value) return static_cast<int>(i);
+    table.push_back(std::move(value));
+    return static_cast<int>(table.size()) - 1;
+}
+
+std::size_t commas(std::size_t elements) {
+    return elements > 0 ? elements - 1 : 0;
+}
+
+}  // namespace
+
+Json MemberData::encode() const {
+    Json data = {{"inc", incarnation}, {"zone", zone}};
+    if (layout) data["v"] = layout;
+    return data;
+}
+
+MemberData MemberData::decode(const Json& data) {
+    MemberData member;
+    member.incarnation = data.value("inc", std::uint64_t{0});
+    member.zone = data.value("zone", "");
+    member.layout = data.value("v", 0u);
+    return member;
+}
+
+Json LayoutRecord::encode() const {
+    return {{"v", version}, {"chunk", chunkSize}, {"width", rangeWidth}};
+}
+
+LayoutRecord LayoutRecord::decode(const Json& data) {
+    return {data.value("v", 0u), data.value("chunk", 0u), data.value("width", 0u)};
+}
+
+Json ActiveRecord::encode() const {
+    Json data = {{"o", owner}};
+    if (stopAttempt) data["stop"] = *stopAttempt;
+    if (cancelled) {
+        data["w"] = true;
+        data["t"] = cancelledAtS;
+    }
+    return data;
+}
+
+ActiveRecord ActiveRecord::decode(const Json& data) {
+    ActiveRecord record;
+    record.owner = data.value("o", "");
+    if (data.contains("stop")) record.stopAttempt = data["stop"].get<std::uint32_t>();
+    record.cancelled = data.value("w", false);
+    record.cancelledAtS = data.value("t", std::int64_t{0});
+    return record;
+}
+
+Json encode_team_parts(const TeamParts& parts) {
+    Json data = Json::object();
+    for (const auto& [member, part] : parts) data[member] = Json::array({part.cores, part.gpus});
+    return data;
+}
+
+TeamParts decode_team_parts(const Json& data) {
+    TeamParts parts;
+    for (const auto& [member, part] : data.items())
+        parts[member] = {part[0].get<std::int64_t>(), part[1].get<std::int64_t>()};
+    return parts;
+}
+
+Json encode_range(const std::vector<HostEntry>& hosts) {
+    Json keepers = Json::array(), builds = Json::array(), list = Json::array();
+    for (const HostEntry& h : hosts) {
+        int keeper = h.keeper.empty() ? -1 : place_in(keepers, Json::array({h.keeper, h.incarnation}));
+        Json e = Json::array({h.name, keeper, h.baton, h.address, place_in(builds, h.build), h.loaner ? 1 : 0});
+        if (h.leaving != Leaving::no) {
+            e.push_back(static_cast<int>(h.leaving));
+            e.push_back(h.leavingAtS);
+        }
+        list.push_back(std::move(e));
+    }
+    return {{"k", std::move(keepers)}, {"b", std::move(builds)}, {"h", std::move(list)}};
+}
+
+std::vector<HostEntry> decode_range(const Json& data) {
+    std::vector<std::pair<std::string, std::uint64_t>> keepers;
+    std::vector<std::string> builds;
+    std::vector<HostEntry> hosts;
+    if (const Json* list = wire::list(data, "k"))
+        for (const Json& k : *list) keepers.emplace_back(k[0].get<std::string>(), k[1].get<std::uint64_t>());
+    if (const Json* list = wire::list(data, "b"))
+        for (const Json& b : *list) builds.push_back(b.get<std::string>());
+    const Json* list = wire::list(data, "h");
+    if (!list) return hosts;
+    for (const Json& e : *list) {
+        HostEntry h;
+        h.name = e[0].get<std::string>();
+        if (int k = e[1].get<int>(); k >= 0) {
+            h.keeper = keepers.at(k).first;
+            h.incarnation = keepers.at(k).second;
+        }
+        h.baton = e[2].get<std::uint64_t>();
+        h.address = e[3].get<std::string>();
+        h.build = builds.at(e[4].get<std::size_t>());
+        h.loaner = e[5].get<int>() != 0;
+        if (e.size() > 6) {
+            h.leaving = static_cast<Leaving>(e[6].get<int>());
+            h.leavingAtS = e[7].get<std::int64_t>();
+        }
+        hosts.push_back(std::move(h));
+    }
+    return hosts;
+}
+
+namespace {
+
+// A machine as ["name",keeper,baton,"address",build,loaner], and of one that leaves ,leaving,at; without the places in
+// the tables.
+std::size_t host_size(const HostEntry& host) {
+    constexpr std::size_t kBracketsAndCommas = 7, kLoaner = 1, kLeavingAndCommas = 3;
+    std::size_t size = kBracketsAndCommas + kLoaner;
+    size += quoted_size(host.name) + quoted_size(host.address) + digits(host.baton);
+    if (host.leaving != Leaving::no) size += kLeavingAndCommas + digits(static_cast<std::uint64_t>(host.leavingAtS));
+    return size;
+}
+
+template <typename Key>
+void drop_one(std::map<Key, int>& counts, const Key& key) {
+    auto it = counts.find(key);
+    if (--it->second == 0) counts.erase(it);
+}
+
+}  // namespace
+
+void RangeSize::add(const HostEntry& host) {
+    ++hosts_;
+    hostBytes_ += host_size(host);
+    if (!host.keeper.empty()) ++keepers_[{host.keeper, host.incarnation}];
+    ++builds_[host.build];
+}
+
+void RangeSize::remove(const HostEntry& host) {
+    --hosts_;
+    hostBytes_ -= host_size(host);
+    if (!host.keeper.empty()) drop_one(keepers_, std::pair(host.keeper, host.incarnation));
+    drop_one(builds_, host.build);
+}
+
+std::size_t RangeSize::bytes() const {
+    constexpr std::size_t kFrame = sizeof(R"({"b":[],"h":[],"k":[]})") - 1;
+    constexpr std::size_t kMinusOne = 2;  // "-1": no keeper
+    std::size_t size = kFrame + hostBytes_ + commas(hosts_) + commas(keepers_.size()) + commas(builds_.size());
+    for (const auto& [keeper, count] : keepers_) size += 3 + quoted_size(keeper.first) + digits(keeper.second);
+    for (const auto& [build, count] : builds_) size += quoted_size(build);
+    return size + hosts_ * (std::max(kMinusOne, digits(keepers_.size())) + digits(builds_.size()));
+}
+
+std::size_t ChunkRecord::Entry::size_bound() const {
+    constexpr std::size_t kBracketsAndCommas = 8;
+    return kBracketsAndCommas + digits(index) + digits(attempt) + quoted_size(host) + digits(baton) +
+           digits(static_cast<std::uint64_t>(atS)) + quoted_size(payer);
+}
+
+std::size_t ChunkRecord::size_bound() const {
+    constexpr std::size_t kFrame = sizeof(R"({"d":[],"e":[]})") - 1;
+    std::size_t size = kFrame;
+    for (const auto& [first, last] : done) size += 4 + digits(first) + digits(last);
+    for (const Entry& e : entries) size += e.size_bound();
+    return size;
+}
+
+Json ChunkRecord::encode() const {
+    Json ranges = Json::array(), list = Json::array();
+    for (const auto& [first, last] : done) ranges.push_back({first, last});
+    for (const Entry& e : entries) {
+        if (e.host.empty())
+            list.push_back({e.index, e.attempt, ""});
+        else
+            list.push_back({e.index, e.attempt, e.host, e.baton, e.atS, e.payer});
+    }
+    return {{"d", std::move(ranges)}, {"e", std::move(list)}};
+}
+
+ChunkRecord ChunkRecord::decode(const Json& data) {
+    ChunkRecord record;
+    if (const Json* ranges = wire::list(data, "d"))
+        for (const Json& r : *ranges) record.done.emplace_back(r[0].get<std::uint32_t>(), r[1].get<std::uint32_t>());
+    const Json* list = wire::list(data, "e");
+    if (!list) return record;
+    for (const Json& e : *list) {
+        Entry entry;
+        entry.index = e[0].get<std::uint32_t>();
+        entry.attempt = e[1].get<std::uint32_t>();
+        entry.host = e[2].get<std::string>();
+        if (!entry.host.empty()) {
+            entry.baton = e[3].get<std::uint64_t>();
+            entry.atS = e[4].get<std::int64_t>();
+            entry.payer = e[5].get<std::string>();
+        }
+        record.entries.push_back(std::move(entry));
+    }
+    return record;
+}
+
+}  // namespace wellstair::model
--- /dev/null
+++ b/src/model/records.hpp
@@ -0,0 +1,120 @@
+// The values that controllers keep in the state service, as types. Each has its encoding and decoding here, side by
+// side; no other module knows the field names. Fields that are not known are ignored when reading, so that versions
+// which add some can run beside those that lack them.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wire/codec.hpp"
+
+namespace wellstair::model {
+
+using wire::Json;
+
+// The layout of the stored keys that a process can write. Version 1 keeps all machines of a range under one key;
+// version 2 may divide a range into parts.
+inline constexpr std::uint32_t kLayoutWithParts = 2;
+
+// `members/NAME`: one process, attached to its lease.
+struct MemberData {
+    std::uint64_t incarnation = 0;
+    std::string zone;
+    std::uint32_t layout = 0;  // the newest layout that the process can write; 0: it does not say
+
+    Json encode() const;
+    static MemberData decode(const Json& data);
+};
+
+// `layout`: the durable switch to a newer layout, with what the names of keys were computed from.
+struct LayoutRecord {
+    std::uint32_t version = 0;  // 0: no switch yet
+    std::uint32_t chunkSize = 0, rangeWidth = 0;
+
+    Json encode() const;
+    static LayoutRecord decode(const Json& data);
+};
+
+// `active/ID`: what changes about an open job.
+struct ActiveRecord {
+    std::string owner;
+    std::optional<std::uint32_t> stopAttempt;  // of a gang: the attempt that is being stopped
+    bool cancelled = false;
+    std::int64_t cancelledAtS = 0;
+
+    Json encode() const;
+    static ActiveRecord decode(const Json& data);
+};
+
+struct Use {
+    std::int64_t cores = 0, gpus = 0;  // in thousandths
+    Use& operator+=(const Use& o) { return cores += o.cores, gpus += o.gpus, *this; }
+    bool operator==(const Use&) const = default;
+};
+inline Use operator+(Use a, const Use& b) {
+    return a += b;
+}
+inline Use operator-(const Use& a, const Use& b) {
+    return {a.cores - b.cores, a.gpus - b.gpus};
+}
+
+// `teams/NAME`: each controller's part of the team's limit, by controller.
+using TeamParts = std::map<std::string, Use>;
+Json encode_team_parts(const TeamParts& parts);
+TeamParts decode_team_parts(const Json& data);
+
+enum class Leaving : std::uint8_t { no, marked, gone };  // gone: the cloud has said 200 to the return
+
+// One machine of a range.
+struct HostEntry {
+    std::string name, keeper, address, build;
+    std::uint64_t incarnation = 0;
+    std::uint64_t baton = 0;  // 0: never registered
+    bool loaner = false;
+    Leaving leaving = Leaving::no;
+    std::int64_t leavingAtS = 0;
+    bool operator==(const HostEntry&) const = default;
+};
+
+// `hosts/ZONE/RANGE`: the machines of a range or of a part of one.
+Json encode_range(const std::vector<HostEntry>& hosts);
+std::vector<HostEntry> decode_range(const Json& data);
+
+// An upper bound of the size of an encoded range, kept up without encoding it.
+class RangeSize {
+  public:
+    void add(const HostEntry& host);
+    void remove(const HostEntry& host);
+    std::size_t bytes() const;
+
+  private:
+    std::size_t hosts_ = 0, hostBytes_ = 0;
+    std::map<std::pair<std::string, std::uint64_t>, int> keepers_;  // how many machines have each
+    std::map<std::string, int> builds_;
+};
+
+// `steps/ID/CHUNK`: the tasks of a chunk that are done or have been given an attempt.
+struct ChunkRecord {
+    struct Entry {
+        std::uint32_t index = 0, attempt = 0;
+        std::string host;  // none: the task is open
+        std::uint64_t baton = 0;
+        std::int64_t atS = 0;
+        std::string payer;
+
+        // At least its size as JSON, with the comma behind it.
+        std::size_t size_bound() const;
+    };
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> done;  // first and last
+    std::vector<Entry> entries;
+
+    Json encode() const;
+    static ChunkRecord decode(const Json& data);
+    std::size_t size_bound() const;
+};
+
+}  // namespace wellstair::model
--- a/src/model/view.cpp
+++ b/src/model/view.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace wellstair::model {
 
@@ -24,6 +25,14 @@
 std::string placer(const std::string& member) {
     return "ws/placers/" + member;
 }
+std::string range_part(const std::string& range, std::uint32_t part) {
+    constexpr std::size_t kDigits = 5;  // so that later parts sort behind earlier ones
+    std::string number = std::to_string(part);
+    return undivided_range(range) + "." + std::string(kDigits - std::min(kDigits, number.size()), '0') + number;
+}
+std::string undivided_range(const std::string& key) {
+    return key.substr(0, key.find('.', key.rfind('/')));
+}
 }  // namespace keys
 
 namespace {
@@ -57,6 +66,14 @@
     return c.steps.empty() ? Step{} : c.steps[index % chunkSize];
 }
 
+bool Job::lost_replica() const {
+    if (!service() || open() == 0) return false;
+    return std::any_of(chunks.begin(), chunks.end(), [](const Chunk& chunk) {
+        return std::any_of(chunk.steps.begin(), chunk.steps.end(),
+                           [](const Step& s) { return s.state == StepState::open && s.attempt > 0; });
+    });
+}
+
 Job* View::job(const std::string& id) {
     auto it = jobs_.find(id);
     return it != jobs_.end() && it->second->known() ? it->second.get() : nullptr;
@@ -117,11 +134,21 @@
         slot = std::make_unique<HostRange>();
         slot->key = key;
         slot->hall = key.substr(first, last - first);
-        std::from_chars(key.data() + last + 1, key.data() + key.size(), slot->number);
+        const char* end = key.data() + key.size();
+        auto [after, error] = std::from_chars(key.data() + last + 1, end, slot->number);
+        if (after != end && *after == '.') std::from_chars(after + 1, end, slot->part);
     }
     return *slot;
 }
 
+std::uint32_t View::next_part(const HostRange& range) const {
+    const std::string parts = keys::undivided_range(range.key) + ".";
+    std::uint32_t highest = 0;
+    for (auto it = ranges_.lower_bound(parts); it != ranges_.end() && it->first.starts_with(parts); ++it)
+        if (it->second->stamp) highest = std::max(highest, it->second->part);
+    return highest + 1;
+}
+
 std::uint64_t View::placer_stamp(const std::string& member) const {
     auto it = placers_.find(member);
     return it == placers_.end() ? 0 : it->second;
@@ -133,45 +160,36 @@
     HostRange& range = range_entry(key);
     if (stamp <= range.stamp) return;
     range.stamp = data ? stamp : 0;
+    range.size = {};
     std::vector<HostRecord*> before = std::move(range.hosts);
     range.hosts.clear();
-    std::vector<std::pair<std::string, std::uint64_t>> keepers;
-    std::vector<std::string> builds;
-    if (data) {
-        if (const Json* list = wire::list(*data, "k"))
-            for (const Json& k : *list) keepers.emplace_back(k[0].get<std::string>(), k[1].get<std::uint64_t>());
-        if (const Json* list = wire::list(*data, "b"))
-            for (const Json& b : *list) builds.push_back(b.get<std::string>());
-        if (const Json* list = wire::list(*data, "h"))
-            for (const Json& e : *list) {
-                HostEntry h;
-                h.name = e[0].get<std::string>();
-                if (int k = e[1].get<int>(); k >= 0) {
-                    h.keeper = keepers.at(k).first;
-                    h.incarnation = keepers.at(k).second;
-                }
-                h.baton = e[2].get<std::uint64_t>();
-                h.address = e[3].get<std::string>();
-                h.build = builds.at(e[4].get<std::size_t>());
-                h.loaner = e[5].get<int>() != 0;
-                if (e.size() > 6) {
-                    h.leaving = static_cast<Leaving>(e[6].get<int>());
-                    h.leavingAtS = e[7].get<std::int64_t>();
-                }
-                HostRecord& record = host_entry(h.name);
-                range.hosts.push_back(&record);
-                change_host(record, h, range, wallS);
-            }
-    }
-    for (HostRecord* h : before)
-        if (std::find(range.hosts.begin(), range.hosts.end(), h) == range.hosts.end()) {
-            std::string name = h->name;
-            HostEntry none;
-            none.name = name;
-            static_cast<HostEntry&>(*h) = none;
-            h->range = nullptr;
-            drop_host_if_unused(name);
+    if (data)
+        for (const HostEntry& entry : decode_range(*data)) {
+            HostRecord& record = host_entry(entry.name);
+            range.hosts.push_back(&record);
+            range.size.add(entry);
+            change_host(record, entry, range, wallS);
         }
+    for (HostRecord* h : before) {
+        // Listed by another range by now: moved there.
+        if (h->range != &range) continue;
+        if (std::find(range.hosts.begin(), range.hosts.end(), h) != range.hosts.end()) continue;
+        h->range = nullptr;
+        unlisted_.push_back(h->name);
+    }
+}
+
+void View::advance(std::uint64_t epoch) {
+    epoch_ = std::max(epoch_, epoch);
+    for (const std::string& name : std::exchange(unlisted_, {})) {
+        auto it = hosts_.find(name);
+        if (it == hosts_.end() || it->second->range) continue;
+        HostEntry none;
+        none.name = name;
+        static_cast<HostEntry&>(*it->second) = none;
+        if (on_removed) on_removed(*it->second);
+        drop_host_if_unused(name);
+    }
 }
 
 void View::change_host(HostRecord& host, const HostEntry& next, HostRange& range, double wallS) {
@@ -188,26 +206,6 @@
     if (leaving && on_leaving) on_leaving(host);
 }
 
-Json View::encode_range(const std::vector<HostEntry>& hosts) {
-    Json keepers = Json::array(), builds = Json::array(), list = Json::array();
-    auto place = [](Json& table, Json value) {
-        for (std::size_t i = 0; i < table.size(); ++i)
-            if (table[i] == value) return static_cast<int>(i);
-        table.push_back(std::move(value));
-        return static_cast<int>(table.size()) - 1;
-    };
-    for (const HostEntry& h : hosts) {
-        int keeper = h.keeper.empty() ? -1 : place(keepers, Json::array({h.keeper, h.incarnation}));
-        Json e = Json::array({h.name, keeper, h.baton, h.address, place(builds, h.build), h.loaner ? 1 : 0});
-        if (h.leaving != Leaving::no) {
-            e.push_back(static_cast<int>(h.leaving));
-            e.push_back(h.leavingAtS);
-        }
-        list.push_back(std::move(e));
-    }
-    return {{"k", std::move(keepers)}, {"b", std::move(builds)}, {"h", std::move(list)}};
-}
-
 void View::apply(const std::string& path, const Json* data, std::uint64_t stamp, double wallS) {
     std::string_view p(path);
     if (!p.starts_with(keys::kPrefix)) return;
@@ -225,10 +223,7 @@
         TeamRecord& t = teams_[rest];
         if (stamp <= t.stamp) return;
         t.stamp = data ? stamp : 0;
-        t.parts.clear();
-        if (data)
-            for (const auto& [member, part] : data->items())
-                t.parts[member] = {part[0].get<std::int64_t>(), part[1].get<std::int64_t>()};
+        t.parts = data ? decode_team_parts(*data) : TeamParts{};
     } else if (kind == "placers") {
         std::uint64_t& mine = placers_[rest];
         mine = std::max(mine, stamp);
@@ -236,9 +231,9 @@
         auto it = members_.find(rest);
         if (it != members_.end() && stamp <= it->second.stamp) return;
         if (data) {
-            std::uint64_t incarnation = data->value("inc", std::uint64_t{0});
-            bool same = it != members_.end() && it->second.incarnation == incarnation;
-            members_[rest] = {stamp, incarnation, same ? it->second.sinceS : wallS};
+            MemberData member = MemberData::decode(*data);
+            bool same = it != members_.end() && it->second.incarnation == member.incarnation;
+            members_[rest] = {stamp, member.incarnation, same ? it->second.sinceS : wallS, member.layout};
         } else if (it != members_.end()) {
             members_.erase(it);
         }
@@ -249,6 +244,10 @@
         cloudRoleStamp_ = data ? stamp : 0;
         cloudRole_ = data ? data->value("by", "") : "";
         cloudRoleIncarnation_ = data ? data->value("inc", std::uint64_t{0}) : 0;
+    } else if (path == keys::kLayout) {
+        if (!data || stamp <= layoutStamp_) return;
+        layoutStamp_ = stamp;
+        layout_ = LayoutRecord::decode(*data);
     } else if (path == keys::kTypes) {
         if (!data || stamp <= typesStamp_) return;
         typesStamp_ = stamp;
@@ -297,11 +296,12 @@
     if (stamp <= job.activeStamp) return;
     bool fresh = !job.activeStamp;
     job.activeStamp = stamp;
-    job.owner = data->value("o", "");
-    job.stopAttempt = data->value("stop", 0u);
-    if (data->value("w", false)) {
+    ActiveRecord record = ActiveRecord::decode(*data);
+    job.owner = record.owner;
+    job.stopAttempt = record.stopAttempt.value_or(0);
+    if (record.cancelled) {
         job.state.become(JobState::withdrawn);
-        job.withdrawnAtS = data->value("t", std::int64_t{0});
+        job.withdrawnAtS = record.cancelledAtS;
     }
     if (fresh && job.spec) enqueue(job);
     if (on_stop && job.spec && (job.state == JobState::withdrawn || job.stopAttempt)) on_stop(job);
@@ -355,26 +355,19 @@
     chunk.stamp = data ? stamp : 0;
     std::uint32_t n = std::min(chunkSize_, job.spec->steps - c * chunkSize_);
     std::vector<Step> steps(n);
-    if (data) {
-        if (const Json* done = wire::list(*data, "d"))
-            for (const Json& range : *done)
-                for (std::uint32_t i = range[0]; i <= range[1].get<std::uint32_t>() && i < n; ++i)
-                    steps[i].state.become(StepState::done);
-        if (const Json* entries = wire::list(*data, "e"))
-            for (const Json& e : *entries) {
-                std::uint32_t i = e[0];
-                if (i >= n) continue;
-                Step& s = steps[i];
-                s.attempt = e[1];
-                const std::string& host = e[2].get_ref<const std::string&>();
-                if (!host.empty()) {
-                    s.state.become(StepState::placed);
-                    s.host = &host_entry(host);
-                    s.baton = e[3];
-                    s.atS = e[4];
-                    s.payer = e[5].get<std::string>();
-                }
-            }
+    const ChunkRecord record = data ? ChunkRecord::decode(*data) : ChunkRecord{};
+    for (const auto& [first, last] : record.done)
+        for (std::uint32_t i = first; i <= last && i < n; ++i) steps[i].state.become(StepState::done);
+    for (const ChunkRecord::Entry& e : record.entries) {
+        if (e.index >= n) continue;
+        Step& s = steps[e.index];
+        s.attempt = e.attempt;
+        if (e.host.empty()) continue;
+        s.state.become(StepState::placed);
+        s.host = &host_entry(e.host);
+        s.baton = e.baton;
+        s.atS = e.atS;
+        s.payer = e.payer;
     }
     set_steps(job, c, std::move(steps), wallS);
 }
@@ -426,22 +419,22 @@
     if (before.host && before.host != next.host) drop_host_if_unused(before.host->name);
 }
 
-Json View::encode_chunk(const std::vector<Step>& steps) {
-    Json done = Json::array(), entries = Json::array();
+ChunkRecord View::chunk_record(const std::vector<Step>& steps) {
+    ChunkRecord record;
     for (std::uint32_t i = 0; i < steps.size(); ++i) {
         const Step& s = steps[i];
         if (s.state == StepState::done) {
             std::uint32_t last = i;
             while (last + 1 < steps.size() && steps[last + 1].state == StepState::done) ++last;
-            done.push_back({i, last});
+            record.done.emplace_back(i, last);
             i = last;
         } else if (s.state == StepState::placed) {
-            entries.push_back({i, s.attempt, s.host->name, s.baton, s.atS, s.payer});
+            record.entries.push_back({i, s.attempt, s.host->name, s.baton, s.atS, s.payer});
         } else if (s.attempt) {
-            entries.push_back({i, s.attempt, ""});
+            record.entries.push_back({i, s.attempt, "", 0, 0, ""});
         }
     }
-    return {{"d", std::move(done)}, {"e", std::move(entries)}};
+    return record;
 }
 
 }  // namespace wellstair::model
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -11,14 +11,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "model/records.hpp"
 #include "model/states.hpp"
 #include "placement/cache.hpp"
 #include "wire/messages.hpp"
 
 namespace wellstair::model {
 
-using wire::Json;
-
 // The keys, all below one prefix so that a single watch sees every change.
 namespace keys {
 inline constexpr const char* kPrefix = "ws/";
@@ -30,6 +29,12 @@
 std::string placer(const std::string& member);
 inline constexpr const char* kCloudRole = "ws/roles/cloud";
 inline constexpr const char* kTypes = "ws/types";
+inline constexpr const char* kLayout = "ws/layout";
+// A part of a range that was divided. Its key sorts after the range's and after those of earlier parts, and
+// production's readers take the range's number from it.
+std::string range_part(const std::string& range, std::uint32_t part);
+// The range that a part belongs to; the range itself if it is none.
+std::string undivided_range(const std::string& key);
 }  // namespace keys
 
 // The table of machines is kept in ranges, many machines to a key: their registrations are few writes, also when a
@@ -72,6 +77,9 @@
     bool gang() const { return spec->shape == wire::Shape::gang; }
     // Tasks that run all together or not at all; a gang of one is like a batch of one.
     bool wide_gang() const { return gang() && spec->steps > 1; }
+    bool service() const { return spec->service(); }
+    // A service that has lost a replica: some open task has run before.
+    bool lost_replica() const;
     Step step(std::uint32_t index, std::uint32_t chunkSize) const;
 };
 
@@ -81,24 +89,13 @@
     bool operator==(const StepRef&) const = default;
 };
 
-enum class Leaving : std::uint8_t { no, marked, gone };  // gone: the cloud has said 200 to the return
-
-// What a range says of one machine.
-struct HostEntry {
-    std::string name, keeper, address, build;
-    std::uint64_t incarnation = 0;
-    std::uint64_t baton = 0;  // 0: never registered
-    bool loaner = false;
-    Leaving leaving = Leaving::no;
-    std::int64_t leavingAtS = 0;
-    bool operator==(const HostEntry&) const = default;
-};
-
 struct HostRange {
     std::string key, hall;
     std::uint64_t stamp = 0;
     std::uint32_t number = 0;  // spreads the ranges over the controllers
+    std::uint32_t part = 0;    // 0: the range itself, where new machines are registered
     std::vector<HostRecord*> hosts;
+    RangeSize size;  // of the value as it is stored
 };
 
 struct HostRecord : HostEntry {
@@ -111,32 +108,23 @@
     bool registered() const { return baton != 0; }
     bool leaves() const { return leaving != Leaving::no; }
     bool gone() const { return leaving == Leaving::gone; }
+    // In no range: its record was removed, which is done only after the cloud has said that the machine is gone.
+    bool removed() const { return !range && !registered(); }
 };
 
-struct Use {
-    std::int64_t cores = 0, gpus = 0;  // in thousandths
-    Use& operator+=(const Use& o) { return cores += o.cores, gpus += o.gpus, *this; }
-    bool operator==(const Use&) const = default;
-};
-inline Use operator+(Use a, const Use& b) {
-    return a += b;
-}
-inline Use operator-(const Use& a, const Use& b) {
-    return {a.cores - b.cores, a.gpus - b.gpus};
-}
-
 // A team's limit is divided among the controllers, so that each can place without the others' leave. What is used
 // follows from the placed tasks: each names the controller whose part it uses.
 struct TeamRecord {
     std::uint64_t stamp = 0;
-    std::map<std::string, Use> parts;
+    TeamParts parts;
     std::map<std::string, Use> used;
     Use total;  // of `used`
 };
 
 struct MemberRecord {
     std::uint64_t stamp = 0, incarnation = 0;
-    double sinceS = 0;  // time of day at which it was seen to join
+    double sinceS = 0;         // time of day at which it was seen to join
+    std::uint32_t layout = 0;  // the newest layout that the process can write
 };
 
 struct Final {
@@ -157,7 +145,7 @@
     // One key as read or watched; `data` null means removed. Older than what is known: ignored.
     void apply(const std::string& path, const Json* data, std::uint64_t stamp, double wallS);
     // The watch has delivered everything up to this revision.
-    void advance(std::uint64_t epoch) { epoch_ = std::max(epoch_, epoch); }
+    void advance(std::uint64_t epoch);
     std::uint64_t epoch() const { return epoch_; }
 
     std::uint32_t chunk_size() const { return chunkSize_; }
@@ -167,6 +155,10 @@
     const Final* final(const std::string& id) const;
     HostRecord* host(const std::string& name);
     const std::map<std::string, std::unique_ptr<HostRange>>& ranges() const { return ranges_; }
+    // The number for the next part of a range: higher than that of each part there is.
+    std::uint32_t next_part(const HostRange& range) const;
+    // The entry of a range or part by its key, made if it is new; nothing is written by that.
+    HostRange& range_entry(const std::string& key);
     // The range of a machine, made if it is new; nothing is written by that.
     HostRange& range_of(const std::string& host, const std::string& hall);
     const wire::MachineType* type(const std::string& sku) const;
@@ -183,12 +175,14 @@
     const std::string& cloud_role() const { return cloudRole_; }
     std::uint64_t cloud_role_incarnation() const { return cloudRoleIncarnation_; }
     std::uint64_t cloud_role_stamp() const { return cloudRoleStamp_; }
+    const LayoutRecord& layout() const { return layout_; }
+    std::uint64_t layout_stamp() const { return layoutStamp_; }
+    std::uint32_t range_width() const { return rangeWidth_; }
     // Chunks whose job is over, by key: to be removed.
     const std::map<std::string, std::uint64_t>& leftovers() const { return leftovers_; }
     bool member_live(const std::string& name) const { return members_.count(name) > 0; }
 
-    static Json encode_chunk(const std::vector<Step>& steps);
-    static Json encode_range(const std::vector<HostEntry>& hosts);
+    static ChunkRecord chunk_record(const std::vector<Step>& steps);
 
     // Called for every step that changes: the controller keeps its own notes by these.
     std::function<void(Job&, std::uint32_t index, const Step& before, const Step& after)> on_step;
@@ -196,6 +190,8 @@
     std::function<void(HostRecord&)> on_registered;
     // Called when a host is being returned, or gone.
     std::function<void(HostRecord&)> on_leaving;
+    // Called when the record of a machine was removed: it is gone for good.
+    std::function<void(HostRecord&)> on_removed;
     // Called when a job is withdrawn, or its attempt is to stop.
     std::function<void(Job&)> on_stop;
 
@@ -214,7 +210,6 @@
     void change_host(HostRecord& host, const HostEntry& next, HostRange& range, double wallS);
     void charge(const Job& job, const Step& step, int by);
     HostRecord& host_entry(const std::string& name);
-    HostRange& range_entry(const std::string& key);
     void drop_host_if_unused(const std::string& name);
 
     std::uint32_t chunkSize_, rangeWidth_;
@@ -232,6 +227,11 @@
     std::string cloudRole_;
     std::uint64_t cloudRoleStamp_ = 0, cloudRoleIncarnation_ = 0;
     std::map<std::string, std::uint64_t> leftovers_;
+    LayoutRecord layout_;
+    std::uint64_t layoutStamp_ = 0;
+    // Machines that a range no longer lists. A machine that was moved is listed by another key of the same revision:
+    // whether it has gone is known when the revision is complete.
+    std::vector<std::string> unlisted_;
 };
 
 }  // namespace wellstair::model
--- a/src/placement/lem.cpp
+++ b/src/placement/lem.cpp
@@ -195,7 +195,18 @@
 double Planner::promisable(std::size_t i, const Request& r, bool startOnly) const {
     constexpr std::size_t kMostHolds = 48;
     if ((startOnly || machines_[i].holds.size() > kMostHolds) && !r.need.fits(free_[i])) return kNever;
-    return earliest(i, r.need, r.expectS);
+    const double start = earliest(i, r.need, r.expectS);
+    return start - now_ > kEndlessS / 2 ? kNever : start;  // room that a service holds gets free at no known time
+}
+
+// Replicas that share a machine or a zone are lost together.
+double Planner::apart_penalty(std::size_t i, const Request& r) const {
+    if (!r.apart) return 0;
+    double penalty =
+        weights_.apartMachineS * static_cast<double>(std::count(r.onMachines.begin(), r.onMachines.end(), i));
+    for (const auto& [hall, n] : r.inHall)
+        if (hall == machines_[i].hall) penalty += weights_.apartHallS * n;
+    return penalty;
 }
 
 std::vector<Slot> Planner::place_batch(const Request& request, bool startOnly) {
@@ -210,7 +221,7 @@
     auto rate = [&](std::size_t k) {
         Choice& c = choices[k];
         bool use = c.start != kNever && (!startOnly || c.start <= now_);
-        c.score = use ? score(machines_[among[k]], r, c.start, c.cached, full) : kNever;
+        c.score = use ? score(machines_[among[k]], r, c.start, c.cached, full) + apart_penalty(among[k], r) : kNever;
     };
     for (std::size_t k = 0; k < among.size(); ++k) {
         const Machine& m = machines_[among[k]];
@@ -221,7 +232,7 @@
     }
     bool bound = r.together || r.scatter;
     for (std::uint32_t n = 0; n < r.count; ++n) {
-        if (bool now = saturated(); now != full) {
+        if (bool now = saturated(); now != full || (r.apart && n > 0)) {
             full = now;
             for (std::size_t k = 0; k < among.size(); ++k) rate(k);
         }
@@ -236,6 +247,7 @@
         out.push_back({among[best], c.start});
         hold(among[best], c.start, r);
         if (c.start <= now_) count_hall(r, machines_[among[best]].hall);
+        if (r.apart) r.onMachines.push_back(among[best]);
         c.start = promisable(among[best], r, startOnly);
         rate(best);
     }
@@ -317,7 +329,7 @@
     for (const auto& group : groups)
         for (std::size_t i : group)
             for (const Hold& h : machines_[i].holds)
-                if (h.until > now_) ends.push_back(h.until);
+                if (h.until > now_ && h.until - now_ < kEndlessS / 2) ends.push_back(h.until);
     std::sort(ends.begin(), ends.end());
     ends.erase(std::unique(ends.begin(), ends.end()), ends.end());
     constexpr std::size_t kTries = 24;  // spread over the ends, so that a long queue does not cost a long search
--- a/src/placement/lem.hpp
+++ b/src/placement/lem.hpp
@@ -14,6 +14,9 @@
 
 namespace wellstair::placement {
 
+// Longer than any plan looks ahead: how long a task that does not end by itself keeps its room.
+inline constexpr double kEndlessS = 1e9;
+
 struct Need {
     double cores = 0, gpus = 0, ramGb = 0;
     Need& operator+=(const Need& o) { return cores += o.cores, gpus += o.gpus, ramGb += o.ramGb, *this; }
@@ -59,6 +62,9 @@
     std::uint32_t scatterCap = 0;                                 // most tasks in one zone
     std::vector<std::pair<std::uint32_t, std::uint32_t>> inHall;  // tasks that the job already has per zone
     std::vector<bool> allowed;                                    // by kind of machine
+    // Replicas of a service: kept on different machines, then in different zones, where that costs little.
+    bool apart = false;
+    std::vector<std::size_t> onMachines;  // machines that have replicas of it, once for each
 };
 
 struct Slot {
@@ -67,9 +73,10 @@
 };
 
 struct Weights {
-    double w = 1;          // weight of the load term in LEA
-    double gpuCareS = 0;   // per machine: a task without GPUs on a machine that has them
-    double packCareS = 0;  // an empty machine of which a task leaves room for more of its kind
+    double w = 1;                              // weight of the load term in LEA
+    double gpuCareS = 0;                       // per machine: a task without GPUs on a machine that has them
+    double apartMachineS = 0, apartHallS = 0;  // per replica of the same service on the machine, in the zone
+    double packCareS = 0;                      // an empty machine of which a task leaves room for more of its kind
     enum class Mode { mixed, eft, lea } mode = Mode::mixed;  // the last two for ablations
 };
 
@@ -94,6 +101,7 @@
   private:
     // `cachedAt`: when the image is usable there, -1 if absent.
     double score(const Machine& m, const Request& r, double start, double cachedAt, bool saturated) const;
+    double apart_penalty(std::size_t machine, const Request& r) const;
     double promisable(std::size_t machine, const Request& r, bool startOnly) const;
     bool hall_ok(const Request& r, std::uint32_t hall) const;
     void hold(std::size_t machine, double start, const Request& r);
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -9,10 +9,17 @@
 namespace {
 // Of the whole rate, what one controller takes when the others are quiet, and how fast it regains it.
 constexpr double kMostShare = 0.7, kRegainPerS = 0.05;
+// Less than everything: rates are counted over there, by another clock.
+constexpr double kFairPart = 0.9;
 }  // namespace
 
 Budget::Budget(double total, int members, double now)
-    : total_(total), fair_(0.9 * total / members), rate_(std::max(fair_, 0.5 * total)), tokens_(rate_), at_(now) {}
+    : members_(members),
+      total_(total),
+      fair_(kFairPart * total / members),
+      rate_(std::max(fair_, 0.5 * total)),
+      tokens_(rate_),
+      at_(now) {}
 
 void Budget::refill(double now) {
     if (now > at_) tokens_ = std::min(rate_, tokens_ + (now - at_) * rate_);
@@ -40,6 +47,19 @@
     tokens_ = std::min(tokens_, 0.0);
 }
 
+void Budget::set_total(double total, double now) {
+    if (total == total_) return;
+    refill(now);
+    total_ = total;
+    fair_ = kFairPart * total / members_;
+    rate_ = std::clamp(rate_, fair_, std::max(fair_, kMostShare * total));
+    tokens_ = std::min(tokens_, rate_);
+}
+
+void Client::set_write_rate(double rps) {
+    writes_.set_total(rps, net::steady_now());
+}
+
 Client::Client(asio::io_context& io, const app::Settings& s)
     : io_(io),
       http_(io, s.state),
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -21,9 +21,11 @@
     double wait_for(double n, double now);  // seconds until n can be spent, n at most the burst
     void served(double now);
     void refused(double now);
+    void set_total(double total, double now);
 
   private:
     void refill(double now);
+    int members_;
     double total_, fair_, rate_, tokens_, at_;
 };
 
@@ -63,6 +65,8 @@
 
     double last_ok() const { return lastOk_; }  // steady time of the last served request of any kind, as it was sent
     Budget& writes() { return writes_; }
+    // The rate of writes that all controllers share.
+    void set_write_rate(double rps);
 
   private:
     asio::awaitable<net::Reply> call(net::verb method, std::string target, std::string body, double timeoutS,
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -85,11 +85,9 @@
     need_amount("gpus", s.gpus);
     need_amount("ramGb", s.ramGb);
     need_amount("imageGb", s.imageGb);
-    // A service has no run time to estimate: what it holds is planned as held for a long time.
-    if (s.shape == Shape::service && absent(body, "expectS"))
-        s.expectS = 86400;
-    else
-        need_amount("expectS", s.expectS);
+    // A service has no run time to estimate.
+    if (!s.service() || !absent(body, "expectS")) need_amount("expectS", s.expectS);
+    if (s.service()) s.expectS = 0;
     need_amount("snapshotS", s.snapshotS);
     need_amount("flushS", s.flushS);
     need_flag("together", s.together);
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -26,6 +26,8 @@
     bool together = false, scatter = false, loaners = false;
     double expectS = 0, snapshotS = 0, flushS = 0;
     std::optional<double> dueS;
+
+    bool service() const { return shape == Shape::service; }
 };
 
 struct Invalid {
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -55,7 +55,7 @@
     put("ws/members/a", {{"inc", 1}});
     model::HostEntry entry;
     entry.name = "n-1", entry.keeper = "a", entry.incarnation = 1, entry.baton = 3, entry.build = "big";
-    put(core.view().range_of("n-1", "a").key, model::View::encode_range({entry}));
+    put(core.view().range_of("n-1", "a").key, model::encode_range({entry}));
     sync();
     core.set_view_ready(true);
     core.set_member_state(model::MemberState::live, {});
@@ -152,7 +152,7 @@
     };
     model::HostEntry host;
     host.name = "n-1", host.keeper = "a", host.incarnation = 1, host.baton = 1, host.build = "big";
-    apply(core.view().range_of("n-1", "a").key, model::View::encode_range({host}));
+    apply(core.view().range_of("n-1", "a").key, model::encode_range({host}));
     wire::JobSpec spec;
     spec.lane = "work", spec.bundle = "img", spec.steps = 1, spec.cores = 10, spec.expectS = 10;
     for (int i = 0; i < 2 * teams; ++i) {
