Tests: production's kept data, the switch at every step, falling limits, wide gangs, services

Production's records and a packet were written by production's own code (tests/data/README.md). The present code reads them, tells the same story with the same bytes before the switch, and divides what is too large whenever the limits fall. Silence is now weighed by zone, not by range: divided ranges are too small for that.

--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -611,12 +611,12 @@
     auto lostAt = static_cast<std::int64_t>(now.wall - settings_.leaseS);
     // Since when a gang has surely noticed that a task's machine is gone.
     double noticed = kSilentReports * settings_.reportS + settings_.gangPeerS;
-    std::map<const model::HostRange*, std::pair<std::size_t, std::size_t>> quietOf;  // of how many
+    std::map<std::string, std::pair<std::size_t, std::size_t>> quietOf;  // by zone: how many, of how many
     std::size_t quietHere = 0, allHere = 0;
     for (auto& [name, n] : notes_) {
         HostRecord* h = view_->host(name);
         if (!kept_here(h) || h->leaves()) continue;
-        auto& [quiet, all] = quietOf[h->range];
+        auto& [quiet, all] = quietOf[h->hall];
         quiet += silent(n, now);
         quietHere += silent(n, now);
         ++all, ++allHere;
@@ -633,9 +633,9 @@
                     (n.state == HostState::kept && now.steady - n.unconfirmedS > 3 * settings_.leaseS);
         // A machine that has been silent for so long has broken the gangs that had tasks there, and their next attempt
         // waits for the proof that these are gone. The cloud's word comes sooner than the end of the lease. Where much
-        // of a range is silent, it is rather the network, or a controller without the store still answers these
+        // of a zone is silent, it is rather the network, or a controller without the store still answers these
         // machines.
-        const auto& [quiet, all] = quietOf[h->range];
+        const auto& [quiet, all] = quietOf[h->hall];
         bool holdsUp =
             now.steady - n.lastReportS > noticed && 3 * quiet <= all &&
             std::any_of(h->placed.begin(), h->placed.end(), [](const StepRef& ref) { return ref.job->wide_gang(); });
--- /dev/null
+++ b/tests/stored_story.hpp
@@ -0,0 +1,177 @@
+// A story that writes every kind of record that controllers keep in the state service. It is told by whichever version
+// it is built with: production's record of it is kept in tests/data (see the README there).
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "controller/core.hpp"
+#include "peers/packet.hpp"
+#include "world.hpp"
+
+namespace wellstair::test {
+
+// What a process writes about itself when it registers.
+using MemberValue = std::function<wire::Json(const controller::Core&, const app::Settings&)>;
+
+class StoredStory {
+  public:
+    static constexpr int kMachines = 400;  // of one zone: each of its six ranges takes more than 2 KiB
+
+    StoredStory(app::Settings settings, MemberValue member) : member_(std::move(member)) {
+        settings.teams = {{"red", 16, 400, 0, 0}, {"blue", 8, 0, 0, 0}};
+        settings.valueKb = 8, settings.txnOps = 16;
+        a_.settings = b_.settings = settings;
+        a_.settings.member = "a", a_.settings.location = "a", a_.settings.members = {{"b", "b", {}}};
+        b_.settings.member = "b", b_.settings.location = "b", b_.settings.members = {{"a", "a", {}}};
+    }
+
+    const std::vector<Store::Change>& tell() {
+        write({{{"set", "ws/types"}, {"data", machine_types()}}});
+        join(a_, 11);
+        join(b_, 12);
+        register_machines();
+        submit("j-batch", "batch", 30, "blue");
+        submit("j-gang", "gang", 4, "red");
+        submit("j-short", "batch", 1, "blue");
+        submit("j-cancelled", "batch", 2, "blue");
+        rounds(a_);
+        rounds(b_);
+        tasks_run_and_some_end();
+        cancel("j-cancelled");
+        stop_gang("j-gang");
+        machine_leaves("n-000007", false);
+        machine_leaves("n-000008", false);
+        machine_leaves("n-000008", true);
+        auto role = a_.core->new_draft();
+        a_.core->take_cloud_role(role, 0);
+        commit(role);
+        return store_.log;
+    }
+
+    static peers::Hint hint() {
+        peers::Hint h{"stairhost-1", 0x1234567890abcdefull, 1.25, true, {{"n-000001", false}, {"n-000017", true}}};
+        h.question = 0xfedcba9876543210ull, h.answered = 17, h.cancelled = {"j-000412", "j-000413"};
+        return h;
+    }
+
+  private:
+    struct Controller {
+        app::Settings settings;
+        std::unique_ptr<controller::Core> core;
+    };
+    controller::Moment now() const { return {time_, 1'000'000 + time_}; }
+
+    void write(wire::Json apply) { store_.commit({{"when", wire::Json::array()}, {"apply", std::move(apply)}}); }
+
+    void sync(Controller& c) {
+        auto& view = c.core->view();
+        for (const auto& change : store_.log)
+            if (change.stamp > view.epoch())
+                view.apply(change.path, change.data ? &*change.data : nullptr, change.stamp, now().wall);
+        view.advance(store_.epoch);
+        c.core->touch_all();
+    }
+
+    bool commit(const controller::Draft& draft) {
+        bool ok = !draft.empty() && store_.commit(draft.build().body).starts_with("ok");
+        sync(a_);
+        sync(b_);
+        return ok;
+    }
+
+    void join(Controller& c, std::uint64_t incarnation) {
+        c.core = std::make_unique<controller::Core>(c.settings, controller::Tunables{}, incarnation);
+        sync(c);
+        write({{{"set", "ws/members/" + c.settings.member}, {"data", member_(*c.core, c.settings)}}});
+        sync(c);
+        c.core->set_view_ready(true);
+        c.core->set_member_state(model::MemberState::live, now());
+    }
+
+    void rounds(Controller& c) {
+        for (int i = 0; i < 40; ++i) {
+            time_ += 0.25;
+            c.core->tick(now());
+            commit(c.core->round(now()));
+        }
+    }
+
+    wire::Report report(int machine, std::uint64_t tick) {
+        char name[16];
+        std::snprintf(name, sizeof name, "n-%06d", machine);
+        wire::Report r;
+        r.host = name, r.address = "10.1.0." + std::to_string(machine) + ":9000", r.build = "c8", r.hall = "a";
+        r.loaners = machine % 5 == 0;
+        r.tenure = 1, r.tick = tick;
+        if (auto* h = a_.core->view().host(name)) r.baton = h->baton;
+        return r;
+    }
+
+    void register_machines() {
+        for (int m = 1; m <= kMachines; ++m) a_.core->note_claim(report(m, 1));
+        rounds(a_);
+        for (int m = 1; m <= kMachines; ++m) a_.core->digest(report(m, 2), true, now());
+    }
+
+    void submit(const std::string& id, const std::string& shape, int steps, const std::string& team) {
+        wire::Json body = {{"ref", id},        {"lane", "work"},   {"crew", team},     {"shape", shape},
+                           {"rank", "urgent"}, {"steps", steps},   {"cores", 4.0},     {"gpus", 0.0},
+                           {"ramGb", 4.0},     {"bundle", "img"},  {"imageGb", 1.0},   {"together", shape == "gang"},
+                           {"scatter", false}, {"loaners", true},  {"expectS", 300.0}, {"snapshotS", 10.0},
+                           {"flushS", 2.0},    {"builds", {"c8"}}, {"dueS", 900.0}};
+        auto parsed = wire::parse_job(body);
+        auto draft = a_.core->new_draft();
+        draft.submit(std::get<wire::JobSpec>(parsed), "a", static_cast<std::int64_t>(now().wall));
+        commit(draft);
+    }
+
+    void tasks_run_and_some_end() {
+        for (std::uint64_t tick : {3, 4}) {
+            for (int m = 1; m <= kMachines; ++m) {
+                wire::Report r = report(m, tick);
+                auto* h = a_.core->view().host(r.host);
+                for (const auto& ref : h->placed) {
+                    wire::TaskReport t;
+                    t.job = ref.job->id, t.index = ref.index;
+                    t.attempt = ref.job->step(ref.index, a_.core->view().chunk_size()).attempt;
+                    bool ends = t.job == "j-short" || (t.job == "j-batch" && t.index % 3 == 0);
+                    t.phase = ends && tick == 4 ? wire::TaskPhase::ended : wire::TaskPhase::running;
+                    if (t.phase == wire::TaskPhase::ended)
+                        t.cause = t.index % 2 ? wire::Cause::halted : wire::Cause::done;
+                    r.steps.push_back(t);
+                }
+                a_.core->digest(r, true, now());
+            }
+            time_ += 1;
+        }
+        for (int i = 0; i < 2; ++i) commit(a_.core->round(now()));
+    }
+
+    void cancel(const std::string& id) {
+        auto draft = b_.core->new_draft();
+        draft.withdraw(*b_.core->view().job(id), static_cast<std::int64_t>(now().wall));
+        commit(draft);
+    }
+
+    void stop_gang(const std::string& id) {
+        auto* job = a_.core->view().job(id);
+        auto draft = a_.core->new_draft();
+        draft.stop_attempt(*job, job->step(0, a_.core->view().chunk_size()).attempt);
+        commit(draft);
+    }
+
+    void machine_leaves(const std::string& name, bool gone) {
+        auto draft = a_.core->new_draft();
+        draft.mark_return(name, "a", static_cast<std::int64_t>(now().wall), gone, "test");
+        commit(draft);
+    }
+
+    MemberValue member_;
+    double time_ = 100;
+    Store store_;
+    Controller a_, b_;
+};
+
+}  // namespace wellstair::test
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,494 @@
+// Old and new versions on the same data: what production stored is read, before the switch the same bytes are written,
+// the switch waits for all members, and what production stored stays movable whenever the limits fall.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <tuple>
+
+#include "peers/packet.hpp"
+#include "production_data.hpp"
+#include "stored_story.hpp"
+
+using namespace wellstair;
+
+namespace {
+
+constexpr app::StateLimits kNext{2, 15, 5};
+
+// A controller on production's data. Time passes by a quarter of a second a round.
+class Upgraded {
+  public:
+    explicit Upgraded(test::Store& store, std::optional<app::StateLimits> next = kNext, std::uint64_t incarnation = 21)
+        : store_(store) {
+        settings_ = test::site_settings();
+        settings_.member = "a", settings_.location = "a", settings_.members = {{"b", "b", {}}};
+        settings_.teams = {{"red", 16, 400, 0, 0}, {"blue", 8, 0, 0, 0}};
+        settings_.nextState = next;
+        core_ = std::make_unique<controller::Core>(settings_, controller::Tunables{}, incarnation);
+        sync();
+        put("ws/members/a", core_->member_data().encode());
+        core_->set_view_ready(true);
+        core_->set_member_state(model::MemberState::live, now());
+    }
+
+    controller::Core& core() { return *core_; }
+    model::View& view() { return core_->view(); }
+    controller::Moment now() const { return {time_, 1'000'200 + time_}; }
+
+    void put(const std::string& path, const wire::Json& data) {
+        const auto limits = std::exchange(store_.limits, std::nullopt);  // another process's write
+        wire::Json txn;
+        txn["when"] = wire::Json::array();
+        txn["apply"] = wire::Json::array({{{"set", path}, {"data", data}}});
+        store_.commit(txn);
+        store_.limits = limits;
+        sync();
+    }
+    void other_is_new(std::uint64_t incarnation = 22) {
+        put("ws/members/b", model::MemberData{incarnation, "b", model::kLayoutWithParts}.encode());
+    }
+
+    void sync() {
+        for (const auto& change : store_.log)
+            if (change.stamp > view().epoch())
+                view().apply(change.path, change.data ? &*change.data : nullptr, change.stamp, now().wall);
+        view().advance(store_.epoch);
+        core_->touch_all();
+    }
+
+    // As the service does: a refusal for size is told to the core, anything else is read back and tried again.
+    std::string commit(const controller::Draft& draft) {
+        if (draft.empty()) return "nothing";
+        auto txn = draft.build();
+        std::string result = store_.commit(txn.body);
+        if (result.starts_with("malformed")) {
+            std::vector<std::string> keys;
+            for (const auto& op : txn.body["apply"]) keys.push_back(op[op.contains("set") ? "set" : "remove"]);
+            core_->note_malformed(keys, now());
+        }
+        sync();
+        return result;
+    }
+
+    std::string round() {
+        time_ += 0.25;
+        store_.at(time_);
+        core_->tick(now());
+        return commit(core_->round(now()));
+    }
+    void rounds(int n) {
+        for (int i = 0; i < n; ++i) round();
+    }
+
+    std::size_t largest_value() const {
+        std::size_t size = 0;
+        for (const auto& [key, value] : store_.keys()) size = std::max(size, value.first.dump().size());
+        return size;
+    }
+
+  private:
+    test::Store& store_;
+    app::Settings settings_;
+    std::unique_ptr<controller::Core> core_;
+    double time_ = 200;
+};
+
+// Every machine of the story with its keeper, baton, address and mark, in exactly one range.
+std::map<std::string, model::HostEntry> machines_of(const test::Store& store) {
+    std::map<std::string, model::HostEntry> out;
+    for (const auto& [key, value] : store.keys()) {
+        if (!key.starts_with("ws/hosts/")) continue;
+        for (const auto& host : model::decode_range(value.first)) {
+            EXPECT_TRUE(out.emplace(host.name, host).second) << host.name << " stands in two ranges";
+        }
+    }
+    return out;
+}
+
+// Some range or part whose value is larger than the lower limit allows.
+model::HostRange* largest_range(model::View& view) {
+    for (const auto& [key, range] : view.ranges())
+        if (range->size.bytes() > kNext.value_bytes()) return range.get();
+    return nullptr;
+}
+
+std::size_t placed_tasks(model::View& view) {
+    std::size_t n = 0;
+    for (const auto& [order, job] : view.queue()) n += job->placed;
+    return n;
+}
+
+TEST(Upgrade, WritesTheSameBytesAsProductionBeforeTheSwitch) {
+    app::Settings settings = test::site_settings();
+    settings.nextState = kNext;
+    test::StoredStory story(settings, [](const controller::Core& core, const app::Settings&) {
+        wire::Json data = core.member_data().encode();
+        EXPECT_EQ(data["v"], model::kLayoutWithParts);
+        data.erase("v");  // production ignores it, and members that do not have it keep the switch away
+        return data;
+    });
+    auto now = story.tell();
+    auto kept = test::production_state();
+    ASSERT_EQ(now.size(), kept.size());
+    // Within a transaction the order says nothing.
+    auto earlier = [](const auto& a, const auto& b) { return std::tie(a.stamp, a.path) < std::tie(b.stamp, b.path); };
+    std::sort(now.begin(), now.end(), earlier);
+    std::sort(kept.begin(), kept.end(), earlier);
+    for (std::size_t i = 0; i < kept.size(); ++i) {
+        EXPECT_EQ(now[i].path, kept[i].path);
+        EXPECT_EQ(now[i].stamp, kept[i].stamp) << kept[i].path;
+        ASSERT_EQ(now[i].data.has_value(), kept[i].data.has_value()) << kept[i].path;
+        if (kept[i].data) {
+            EXPECT_EQ(now[i].data->dump(), kept[i].data->dump()) << kept[i].path;
+        }
+    }
+}
+
+TEST(Upgrade, ReadsAllThatProductionStored) {
+    test::Store store;
+    test::load_production_state(store);
+    Upgraded a(store);
+    model::View& view = a.view();
+    EXPECT_EQ(view.types().size(), 2u);
+    EXPECT_EQ(view.members().at("b").incarnation, 12u);
+    EXPECT_EQ(view.members().at("b").layout, 0u);
+    EXPECT_EQ(machines_of(store).size(), 400u);
+    EXPECT_EQ(view.host("n-000400")->keeper, "a");
+    EXPECT_EQ(view.host("n-000400")->incarnation, 11u);
+    EXPECT_EQ(view.host("n-000400")->baton, 3u);
+    EXPECT_EQ(view.host("n-000007")->leaving, model::Leaving::marked);
+    EXPECT_TRUE(view.host("n-000008")->gone());
+    EXPECT_EQ(view.final("j-short")->state, model::JobState::done);
+    EXPECT_EQ(view.job("j-batch")->done, 5u);
+    EXPECT_EQ(view.job("j-batch")->placed, 25u);
+    EXPECT_EQ(view.job("j-cancelled")->state, model::JobState::withdrawn);
+    EXPECT_EQ(view.job("j-gang")->stopAttempt, 1u);
+    EXPECT_EQ(view.teams().at("red").total.cores, 16000);
+    EXPECT_EQ(view.teams().at("red").parts.at("a").cores, 208000);
+    EXPECT_EQ(view.cloud_role(), "a");
+    EXPECT_EQ(view.layout_stamp(), 0u);
+    // Each kind of record is written again as it was read.
+    for (const auto& [key, value] : store.keys()) {
+        const std::string bytes = value.first.dump();
+        if (key.starts_with("ws/hosts/")) {
+            auto hosts = model::decode_range(value.first);
+            EXPECT_EQ(model::encode_range(hosts).dump(), bytes);
+            model::RangeSize size;
+            for (const auto& h : hosts) size.add(h);
+            EXPECT_GE(size.bytes(), bytes.size()) << key;
+            EXPECT_LE(size.bytes(), bytes.size() + hosts.size()) << key;
+        } else if (key.starts_with("ws/steps/")) {
+            auto chunk = model::ChunkRecord::decode(value.first);
+            EXPECT_EQ(chunk.encode().dump(), bytes);
+            EXPECT_GE(chunk.size_bound(), bytes.size()) << key;
+        } else if (key.starts_with("ws/active/")) {
+            EXPECT_EQ(model::ActiveRecord::decode(value.first).encode().dump(), bytes);
+        } else if (key.starts_with("ws/teams/")) {
+            EXPECT_EQ(model::encode_team_parts(model::decode_team_parts(value.first)).dump(), bytes);
+        } else if (key == "ws/members/b") {
+            EXPECT_EQ(model::MemberData::decode(value.first).encode().dump(), bytes);
+        }
+    }
+}
+
+TEST(Upgrade, PacketsStayAsTheyAre) {
+    const std::string kept = test::production_packet();
+    EXPECT_EQ(peers::pack(test::StoredStory::hint()), kept);
+    auto hint = peers::unpack(kept);
+    ASSERT_TRUE(hint);
+    EXPECT_EQ(hint->member, "stairhost-1");
+    EXPECT_EQ(hint->cancelled.size(), 2u);
+}
+
+TEST(Upgrade, TheSwitchWaitsForAllMembers) {
+    test::Store store;
+    test::load_production_state(store);
+    Upgraded a(store);
+    a.rounds(20);
+    EXPECT_EQ(a.view().layout_stamp(), 0u) << "b still runs production";
+    EXPECT_GT(a.largest_value(), kNext.value_bytes()) << "no range is divided before the switch";
+    a.other_is_new();
+    a.rounds(1);
+    EXPECT_EQ(a.view().layout().version, model::kLayoutWithParts);
+    a.rounds(60);
+    EXPECT_LE(a.largest_value(), kNext.value_bytes());
+}
+
+// Without state.next nothing changes, whoever runs.
+TEST(Upgrade, NoSwitchWithoutAnnouncedLimits) {
+    test::Store store;
+    test::load_production_state(store);
+    Upgraded a(store, std::nullopt);
+    a.other_is_new();
+    a.rounds(40);
+    EXPECT_EQ(a.view().layout_stamp(), 0u);
+    EXPECT_GT(a.largest_value(), kNext.value_bytes());
+    EXPECT_EQ(a.core().state_limits(), (app::StateLimits{8, 50, 16}));
+}
+
+// A process that comes back old replaces its member record: the switch decided before does not apply. And what an old
+// process sent before its end fails on its own member record.
+TEST(Upgrade, TheSwitchAndLateTransactionsExcludeOneAnother) {
+    test::Store store;
+    test::load_production_state(store);
+    Upgraded a(store);
+    a.other_is_new();
+    wire::Json decided = a.core().round(a.now()).build().body;
+    ASSERT_EQ(decided["apply"][0]["set"], "ws/layout");
+    a.put("ws/members/b", model::MemberData{23, "b", 0}.encode());
+    EXPECT_TRUE(store.commit(decided).starts_with("conflict ws/members/b"));
+
+    // b's last transaction, on its way while b is replaced by a new process and the switch is made.
+    const std::uint64_t range = store.stamp("ws/hosts/a/1");
+    wire::Json late;
+    late["when"] = {{{"path", "ws/members/b"}, {"stamp", store.stamp("ws/members/b")}},
+                    {{"path", "ws/hosts/a/1"}, {"stamp", range}}};
+    late["apply"] = {{{"set", "ws/hosts/a/1"}, {"data", store.keys().at("ws/hosts/a/1").first}}};
+    a.other_is_new(24);
+    a.rounds(3);
+    ASSERT_EQ(a.view().layout().version, model::kLayoutWithParts);
+    EXPECT_TRUE(store.commit(late).starts_with("conflict ws/members/b"));
+}
+
+TEST(Upgrade, DividedRangesKeepEveryMachineAndTask) {
+    test::Store store;
+    test::load_production_state(store);
+    const auto before = machines_of(store);
+    Upgraded a(store);
+    const std::size_t tasks = placed_tasks(a.view());
+    a.other_is_new();
+    ASSERT_TRUE(a.round().starts_with("ok"));
+    ASSERT_EQ(a.core().state_limits(), kNext);
+    // Only dividing: in rounds, the machines of the process that has ended would be registered anew as well.
+    while (model::HostRange* large = largest_range(a.view())) {
+        controller::Draft draft = a.core().new_draft();
+        ASSERT_TRUE(draft.divide(*large)) << large->key;
+        ASSERT_TRUE(a.commit(draft).starts_with("ok")) << large->key;
+    }
+    EXPECT_LE(a.largest_value(), kNext.value_bytes());
+    EXPECT_EQ(machines_of(store), before);
+    EXPECT_EQ(placed_tasks(a.view()), tasks);
+}
+
+// A process may end after any transaction; whoever comes next goes on from the store alone.
+TEST(Upgrade, DividingGoesOnAfterAnEndAtEachTransaction) {
+    test::Store store;
+    test::load_production_state(store);
+    const std::size_t machines = machines_of(store).size();
+    std::size_t tasks = 0;
+    {
+        Upgraded before(store);
+        tasks = placed_tasks(before.view()) - before.view().host("n-000008")->placed.size();  // which is gone
+    }
+    std::uint64_t incarnation = 30;
+    for (int transactions = 0; transactions < 60; ++transactions) {
+        Upgraded a(store, kNext, ++incarnation);
+        if (transactions == 0) a.other_is_new();
+        a.rounds(1);  // and it ends
+        EXPECT_EQ(machines_of(store).size(), machines) << "after transaction " << transactions;
+    }
+    Upgraded a(store, kNext, ++incarnation);
+    a.rounds(60);
+    EXPECT_LE(a.largest_value(), kNext.value_bytes());
+    EXPECT_EQ(placed_tasks(a.view()), tasks);
+    for (const auto& [name, host] : machines_of(store))
+        if (host.leaving != model::Leaving::gone) {
+            EXPECT_EQ(host.incarnation, incarnation) << name;
+        }
+}
+
+// The limits are in force before anything was divided, with one member away: its return to the cloud, and every other
+// change of a machine in a range that is too large, goes through all the same.
+TEST(Upgrade, WorksWhenTheLimitsFallFirst) {
+    test::Store store;
+    test::load_production_state(store);
+    store.impose(kNext);
+    Upgraded a(store);
+    a.put("ws/members/b", model::MemberData{12, "b", 0}.encode());
+    a.rounds(200);
+    EXPECT_EQ(store.refusedAsMalformed, 1) << "a refusal for size is not repeated";
+    EXPECT_EQ(a.view().layout_stamp(), 0u) << "the switch still waits for b";
+    for (const auto& [name, host] : machines_of(store))
+        if (host.leaving != model::Leaving::gone) {
+            EXPECT_EQ(host.incarnation, 21u) << name << " was not taken over";
+        }
+    auto draft = a.core().new_draft();
+    ASSERT_TRUE(draft.mark_return("n-000100", "a", 1'000'300, false, "test"));
+    EXPECT_TRUE(a.commit(draft).starts_with("ok"));
+    auto gone = a.core().new_draft();
+    ASSERT_TRUE(gone.mark_return("n-000100", "a", 1'000'300, true, "test"));
+    EXPECT_TRUE(a.commit(gone).starts_with("ok"));
+    EXPECT_TRUE(a.view().host("n-000100")->gone());
+}
+
+// A range of production that is as large as a value could be is divided by its first change, in one transaction.
+TEST(Upgrade, TheLargestRangeIsDividedByItsFirstChange) {
+    test::Store store;
+    std::vector<model::HostEntry> hosts;
+    while (model::encode_range(hosts).dump().size() < 8 * 1024 - 80) {
+        model::HostEntry host;
+        host.name = "n-" + std::to_string(1'000'000 + hosts.size());
+        host.keeper = "stairhost-" + std::to_string(hosts.size() % 5), host.incarnation = 0xfffffffffffff;
+        host.baton = 1'000'000, host.address = "10.100.100.100:10000", host.build = "c8";
+        hosts.push_back(host);
+    }
+    Upgraded setup(store);
+    setup.put("ws/types", test::machine_types());
+    setup.put("ws/hosts/a/3", model::encode_range(hosts));
+    setup.other_is_new();
+    setup.round();
+    store.impose(kNext);
+    auto draft = setup.core().new_draft();
+    ASSERT_TRUE(draft.mark_return(hosts[50].name, "a", 1'000'300, false, "test"));
+    EXPECT_EQ(setup.commit(draft).substr(0, 2), "ok");
+    EXPECT_EQ(machines_of(store).size(), hosts.size());
+    EXPECT_EQ(machines_of(store).at(hosts[50].name).leaving, model::Leaving::marked);
+}
+
+// New machines of a divided range are registered where everybody looks for them first, and never in two places: two
+// processes that register the same machine both change the undivided range's key.
+TEST(Upgrade, TwoRegistrationsOfOneMachineExcludeOneAnother) {
+    test::Store store;
+    test::load_production_state(store);
+    Upgraded a(store);
+    a.other_is_new();
+    a.rounds(80);
+    wire::Report report;
+    report.host = "n-000403", report.address = "10.1.1.1:9000", report.build = "c8", report.hall = "a";
+    auto first = a.core().new_draft(), second = a.core().new_draft();
+    ASSERT_TRUE(first.claim(report, "a", 21));
+    ASSERT_TRUE(second.claim(report, "b", 22));
+    EXPECT_TRUE(store.commit(first.build().body).starts_with("ok"));
+    EXPECT_TRUE(store.commit(second.build().body).starts_with("conflict ws/hosts/a/1"));
+    machines_of(store);
+}
+
+// A reader that begins while a range is being divided: it has read the range before and the parts after the change, and
+// then sees the change once more.
+TEST(Upgrade, AReaderInTheMiddleOfADivisionAgrees) {
+    test::Store store;
+    test::load_production_state(store);
+    Upgraded a(store);
+    a.other_is_new();
+    a.round();
+    const auto before = store.keys();
+    const std::uint64_t epoch = store.epoch;
+    model::HostRange* large = largest_range(a.view());
+    ASSERT_TRUE(large);
+    const std::string range = large->key;
+    auto draft = a.core().new_draft();
+    ASSERT_TRUE(draft.divide(*large));
+    ASSERT_TRUE(a.commit(draft).starts_with("ok"));
+
+    const model::LayoutRecord layout = a.core().own_layout();
+    for (bool rangeFirst : {true, false}) {
+        model::View reader(layout.chunkSize, layout.rangeWidth);
+        auto read = [&](const auto& keys, const std::string& key) {
+            reader.apply(key, &keys.at(key).first, keys.at(key).second, 0);
+        };
+        for (const auto& [key, value] : store.keys()) read(key == range ? before : store.keys(), key);
+        reader.advance(epoch);
+        std::vector<test::Store::Change> news;
+        for (const auto& change : store.log)
+            if (change.stamp > epoch) news.push_back(change);
+        if (!rangeFirst) std::reverse(news.begin(), news.end());
+        for (const auto& c : news) reader.apply(c.path, c.data ? &*c.data : nullptr, c.stamp, 0);
+        reader.advance(store.epoch);
+        for (const auto& [name, host] : machines_of(store)) {
+            auto* record = reader.host(name);
+            ASSERT_TRUE(record && record->range) << name;
+            EXPECT_EQ(static_cast<model::HostEntry&>(*record), host) << name;
+        }
+    }
+}
+
+// Moving a machine is no new registration: nothing noted about it is lost, and its tasks stay where they are.
+TEST(Upgrade, MovingAMachineProvesNothing) {
+    test::Store store;
+    test::load_production_state(store);
+    Upgraded a(store);
+    a.other_is_new();
+    a.round();
+    int registered = 0, removed = 0;
+    auto registration = a.view().on_registered;
+    a.view().on_registered = [&](model::HostRecord& h) { ++registered, registration(h); };
+    a.view().on_removed = [&](model::HostRecord&) { ++removed; };
+    const double seen = a.view().host("n-000400")->registeredS;
+    while (model::HostRange* large = largest_range(a.view())) {
+        auto draft = a.core().new_draft();
+        ASSERT_TRUE(draft.divide(*large));
+        a.commit(draft);
+    }
+    EXPECT_EQ(registered, 0);
+    EXPECT_EQ(removed, 0);
+    EXPECT_EQ(a.view().host("n-000400")->registeredS, seen);
+    EXPECT_NE(a.view().host("n-000400")->range->part, 0u);
+}
+
+class WideGangs : public testing::TestWithParam<int> {};
+
+// A gang of 16 on machines of 16 ranges has more keys to compare than 20 (or, with four operations, 16) conditions.
+TEST_P(WideGangs, StartUnderLowLimits) {
+    test::Store store;
+    test::load_production_state(store);
+    app::StateLimits next = kNext;
+    next.txnOps = GetParam();
+    Upgraded a(store, next);
+    a.other_is_new();
+    a.round();
+    ASSERT_EQ(a.view().layout().version, model::kLayoutWithParts);
+    for (int i = 0; i < 16; ++i) {
+        model::HostEntry host;
+        host.name = "n-00100" + std::to_string(i), host.keeper = "a", host.incarnation = 21, host.baton = 5;
+        host.address = "10.1.0.1:9000", host.build = "c8";
+        a.put("ws/hosts/a/" + std::to_string(100 + i), model::encode_range({host}));
+    }
+    store.impose(next);
+    a.rounds(200);
+    std::vector<std::pair<std::uint32_t, model::HostRecord*>> tasks;
+    std::set<model::HostRange*> ranges;
+    for (const auto& [name, h] : a.view().hosts())
+        if (tasks.size() < 16 && h->range && !h->leaves() && h->placed.empty() && ranges.insert(h->range).second)
+            tasks.emplace_back(static_cast<std::uint32_t>(tasks.size()), h.get());
+    ASSERT_EQ(tasks.size(), 16u);
+    wire::JobSpec spec;
+    spec.ref = "j-wide", spec.lane = "work", spec.crew = "red", spec.bundle = "img", spec.shape = wire::Shape::gang;
+    spec.steps = 16, spec.cores = 4, spec.together = true, spec.expectS = 100;
+    auto submit = a.core().new_draft();
+    ASSERT_TRUE(submit.submit(spec, "a", 1'000'300));
+    ASSERT_TRUE(a.commit(submit).starts_with("ok"));
+    model::Job* job = a.view().job("j-wide");
+    auto place = a.core().new_draft();
+    ASSERT_TRUE(place.place(*job, tasks, 1, 1'000'300));
+    EXPECT_TRUE(a.commit(place).starts_with("ok"));
+    EXPECT_EQ(job->placed, 16u);
+    EXPECT_EQ(store.refusedAsMalformed, 0);
+
+    // A machine whose record was removed meanwhile: it had been gone for long, and the task that names it is gone too.
+    const std::string lost = tasks[3].second->name;
+    auto forget = a.core().new_draft();
+    ASSERT_TRUE(forget.forget_host(*tasks[3].second));
+    ASSERT_TRUE(a.commit(forget).starts_with("ok"));
+    EXPECT_TRUE(a.view().host(lost)->removed());
+    a.rounds(20);
+    EXPECT_EQ(job->step(3, a.view().chunk_size()).state, model::StepState::open);
+}
+
+INSTANTIATE_TEST_SUITE_P(TransactionOperations, WideGangs, testing::Values(5, 4));
+
+// A refusal that the announced limits do not explain: the key rests, and other work goes on.
+TEST(Upgrade, ARefusedKeyDoesNotStopOtherWork) {
+    test::Store store;
+    test::load_production_state(store);
+    Upgraded a(store);
+    a.other_is_new();
+    a.rounds(80);
+    a.core().note_malformed({"ws/hosts/a/1"}, a.now());
+    auto draft = a.core().new_draft();
+    ASSERT_TRUE(draft.mark_return("n-000001", "a", 1'000'300, false, "test"));
+    EXPECT_TRUE(draft.empty()) << "the refused key rests";
+    ASSERT_TRUE(draft.mark_return("n-000003", "a", 1'000'300, false, "test"));
+    EXPECT_FALSE(draft.empty());
+}
+
+}  // namespace
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -15,7 +15,33 @@
     return it == keys_.end() ? 0 : it->second.second;
 }
 
+void Store::impose(const app::StateLimits& next) {
+    limits = next;
+    writesLeft_ = next.writeRps;
+}
+
+void Store::at(double seconds) {
+    if (limits && now_) writesLeft_ = std::min(limits->writeRps, writesLeft_ + (seconds - *now_) * limits->writeRps);
+    now_ = seconds;
+}
+
+std::string Store::too_large(const Json& txn) const {
+    constexpr std::size_t kTransactionBytes = 64 * 1024;
+    if (txn["apply"].size() > static_cast<std::size_t>(limits->txnOps)) return "operations";
+    if (txn["when"].size() > static_cast<std::size_t>(limits->conditions())) return "conditions";
+    if (txn.dump().size() > kTransactionBytes) return "transaction";
+    for (const Json& op : txn["apply"])
+        if (op.contains("data") && op["data"].dump().size() > limits->value_bytes()) return op["set"];
+    return "";
+}
+
 std::string Store::commit(const Json& txn) {
+    if (limits) {
+        if (std::string what = too_large(txn); !what.empty()) return ++refusedAsMalformed, "malformed " + what;
+        const auto writes = static_cast<double>(txn["apply"].size());
+        if (now_ && writesLeft_ < writes) return "busy";
+        writesLeft_ -= writes;
+    }
     std::string failed;
     for (const Json& w : txn["when"])
         if (stamp(w["path"]) != w["stamp"].get<std::uint64_t>()) failed += " " + w["path"].get<std::string>();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -19,14 +19,24 @@
         std::optional<wire::Json> data;
         std::uint64_t stamp;
     };
-    // "ok N", or "conflict KEY ...".
+    // "ok N", "conflict KEY ...", "malformed WHY" (400) or "busy" (429).
     std::string commit(const wire::Json& txn);
+    // Enforced from now on, as PROTOCOL says: values and transactions by size, writes by the time passed to `at`.
+    std::optional<app::StateLimits> limits;
+    void impose(const app::StateLimits& next);
+    void at(double seconds);
+    int refusedAsMalformed = 0;
     std::uint64_t stamp(const std::string& path) const;
+    const std::map<std::string, std::pair<wire::Json, std::uint64_t>>& keys() const { return keys_; }
     std::uint64_t epoch = 0;
     std::vector<Change> log;
 
   private:
+    std::string too_large(const wire::Json& txn) const;
+
     std::map<std::string, std::pair<wire::Json, std::uint64_t>> keys_;
+    std::optional<double> now_;
+    double writesLeft_ = 0;
 };
 
 // What the test worlds have in common: the settings but for names and zones, and the types of machines.
