--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -53,9 +53,7 @@
         if (const Json* hosts = wire::list(*reply, "hosts"))
             for (const Json& h : *hosts)
                 if (h.is_string()) out.hosts.push_back(h.get<std::string>());
-    } else if (r.status == 503 && reply && wire::text(*reply, "error") == "no capacity") {
-        out.kind = RentResult::refused;
-    } else if (r.status == 400) {
+    } else if (r.status == 400 || (r.status == 503 && reply && wire::text(*reply, "error") == "no capacity")) {
         out.kind = RentResult::refused;
     }
     co_return out;
--- a/src/controller/ordering.cpp
+++ b/src/controller/ordering.cpp
@@ -26,6 +26,7 @@
 template <typename T>
 void rearrange(std::vector<T>& queue, const std::vector<std::size_t>& places, const std::vector<std::size_t>& order) {
     std::vector<T> sorted;
+    sorted.reserve(order.size());
     for (std::size_t k : order) sorted.push_back(queue[places[k]]);
     for (std::size_t k = 0; k < places.size(); ++k) queue[places[k]] = sorted[k];
 }
@@ -67,10 +68,12 @@
 
 // A service that has lost a replica goes before new work of its rank: its users notice at once.
 void Core::put_lost_replicas_first(std::vector<Queued>& queue) const {
-    std::vector<std::pair<std::pair<int, bool>, Queued>> keyed;
-    for (const Queued& q : queue) keyed.push_back({{q.rank, !q.job->lost_replica()}, q});
-    std::stable_sort(keyed.begin(), keyed.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    for (std::size_t i = 0; i < queue.size(); ++i) queue[i] = keyed[i].second;
+    // The queue is in the order of ranks by now.
+    for (auto first = queue.begin(); first != queue.end();) {
+        auto last = std::find_if(first, queue.end(), [&](const Queued& q) { return q.rank != first->rank; });
+        std::stable_partition(first, last, [](const Queued& q) { return q.job->lost_replica(); });
+        first = last;
+    }
 }
 
 // No order by rank, due time or size may keep a job waiting without end: who has waited for many leases goes first, the
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -142,7 +142,7 @@
 }
 
 void Service::spawn(asio::awaitable<void> a) {
-    asio::co_spawn(io_, std::move(a), [](std::exception_ptr e) {
+    asio::co_spawn(io_, std::move(a), [](const std::exception_ptr& e) {
         if (!e) return;
         try {
             std::rethrow_exception(e);
--- a/src/model/host.cpp
+++ b/src/model/host.cpp
@@ -8,9 +8,8 @@
     // A host that has our answer stays here, and its next message is numbered next. One that has not goes round the
     // other controllers first. Reports that keep arriving must not hide that no answer takes effect.
     if (checkin && tenure) {
-        if (r.baton > baton && r.baton == keepBaton)
-            gaps = 0;
-        else if (r.tenure == tenure && r.tick == tick + 1)
+        const bool confirms = r.baton > baton && r.baton == keepBaton;
+        if (confirms || (r.tenure == tenure && r.tick == tick + 1))
             gaps = 0;
         else if (r.tenure == tenure && ++gaps == 2)
             deafSinceS = nowS;
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -2,6 +2,7 @@
 // guess.
 #pragma once
 
+#include <cmath>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -133,7 +134,7 @@
 };
 
 inline std::int64_t milli(double amount) {
-    return static_cast<std::int64_t>(amount * 1000 + 0.5);
+    return std::llround(amount * 1000);
 }
 
 class View {
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -10,7 +10,7 @@
 
 using Json = nlohmann::json;
 
-inline constexpr std::size_t kBodyLimit = 64 * 1024;  // PROTOCOL: bodies of requests, measured as JSON
+inline constexpr std::size_t kBodyLimit = std::size_t{64} * 1024;  // PROTOCOL: bodies of requests, measured as JSON
 
 std::string encode(const Json& value);
 
