--- a/src/controller/takeover.cpp
+++ b/src/controller/takeover.cpp
@@ -122,7 +122,7 @@
         claimedS_ = now.steady;
         // The range is rewritten anyway: all that nobody keeps goes with it, before small transactions are full of
         // other ranges.
-        if (h && h->range && ranges.insert(h->range).second) claim_orphans(draft, *h->range);
+        if (h && h->range && ranges.insert(h->range).second && !claim_orphans(draft, *h->range)) full = true;
     }
     if (full) {
         dirty_ = true;
