--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -345,6 +345,38 @@
     EXPECT_EQ(machines_of(store).at(hosts[50].name).leaving, model::Leaving::marked);
 }
 
+// A process that knows nothing of parts and lower limits comes back after the switch (here the present code without
+// state.next, which like production never divides). It reads every machine and takes them over where they stand, large
+// transactions of its are refused, and a new process then goes on.
+TEST(Upgrade, AnOldProcessAfterTheSwitchDoesNoHarm) {
+    test::Store store;
+    test::load_production_state(store);
+    {
+        Upgraded before(store);
+        before.other_is_new();
+        before.rounds(80);
+    }
+    const std::size_t machines = machines_of(store).size();
+    for (bool fallen : {false, true}) {
+        if (fallen) store.impose(kNext);
+        Upgraded old(store, std::nullopt, fallen ? 61 : 60);
+        old.put("ws/members/a", model::MemberData{fallen ? 61u : 60u, "a", 0}.encode());
+        old.rounds(80);
+        EXPECT_EQ(machines_of(store).size(), machines);
+        for (const auto& [name, host] : machines_of(store)) {
+            EXPECT_EQ(old.view().host(name)->keeper, host.keeper) << name;
+        }
+        EXPECT_TRUE(store.stamp("ws/layout")) << "the switch stays";
+    }
+    Upgraded next(store, kNext, 62);
+    next.rounds(80);
+    EXPECT_LE(next.largest_value(), kNext.value_bytes());
+    for (const auto& [name, host] : machines_of(store))
+        if (host.leaving != model::Leaving::gone) {
+            EXPECT_EQ(host.incarnation, 62u) << name;
+        }
+}
+
 // New machines of a divided range are registered where everybody looks for them first, and never in two places: two
 // processes that register the same machine both change the undivided range's key.
 TEST(Upgrade, TwoRegistrationsOfOneMachineExcludeOneAnother) {
