Tests: reading the store's changes and a transaction's keys stand once

Found on re-reading the whole change: the loop that brings a view up to date and the one that lists a transaction's keys stood in two worlds each. tests/stored_story.hpp keeps its own, as it is also built with production's test world.

--- a/tests/mixed_world.hpp
+++ b/tests/mixed_world.hpp
@@ -484,11 +484,7 @@
         }
         const std::string result = store_.commit(body);
         const bool ok = result.starts_with("ok");
-        if (result.starts_with("malformed")) {
-            std::vector<std::string> keys;
-            for (const Json& op : body["apply"]) keys.push_back(op[op.contains("set") ? "set" : "remove"]);
-            n.core->note_malformed(keys, moment());
-        }
+        if (result.starts_with("malformed")) n.core->note_malformed(written_keys(body), moment());
         if (ok || now_ >= n.slowUntil) sync(n);
         if (!ok) n.core->touch_all();
         return ok;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -49,10 +49,7 @@
     }
 
     void sync() {
-        for (const auto& change : store_.log)
-            if (change.stamp > view().epoch())
-                view().apply(change.path, change.data ? &*change.data : nullptr, change.stamp, now().wall);
-        view().advance(store_.epoch);
+        test::read_changes(store_, view(), now().wall);
         core_->touch_all();
     }
 
@@ -61,11 +58,7 @@
         if (draft.empty()) return "nothing";
         auto txn = draft.build();
         std::string result = store_.commit(txn.body);
-        if (result.starts_with("malformed")) {
-            std::vector<std::string> keys;
-            for (const auto& op : txn.body["apply"]) keys.push_back(op[op.contains("set") ? "set" : "remove"]);
-            core_->note_malformed(keys, now());
-        }
+        if (result.starts_with("malformed")) core_->note_malformed(test::written_keys(txn.body), now());
         sync();
         return result;
     }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -60,6 +60,19 @@
     return "ok " + std::to_string(epoch);
 }
 
+void read_changes(const Store& store, model::View& view, double wallS) {
+    for (const auto& change : store.log)
+        if (change.stamp > view.epoch())
+            view.apply(change.path, change.data ? &*change.data : nullptr, change.stamp, wallS);
+    view.advance(store.epoch);
+}
+
+std::vector<std::string> written_keys(const Json& txn) {
+    std::vector<std::string> keys;
+    for (const Json& op : txn["apply"]) keys.push_back(op[op.contains("set") ? "set" : "remove"]);
+    return keys;
+}
+
 Json machine_types() {
     return {{"builds",
              {{{"sku", "c8"},
@@ -107,11 +120,7 @@
 void World::sync(Controller& c) {
     if (c.refused) return;
     c.contactS = c.servedS = time_;
-    auto& view = c.core->view();
-    for (const auto& change : store_.log)
-        if (change.stamp > view.epoch())
-            view.apply(change.path, change.data ? &*change.data : nullptr, change.stamp, now().wall);
-    view.advance(store_.epoch);
+    read_changes(store_, c.core->view(), now().wall);
     c.core->touch_all();
 }
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -39,6 +39,11 @@
     double writesLeft_ = 0;
 };
 
+// Brings a view up to what the store holds, as reading the watch does.
+void read_changes(const Store& store, model::View& view, double wallS);
+// The keys that a transaction writes or removes.
+std::vector<std::string> written_keys(const wire::Json& txn);
+
 // What the test worlds have in common: the settings but for names and zones, and the types of machines.
 app::Settings site_settings();
 wire::Json machine_types();
