--- a/tests/mixed_troubles_test.cpp
+++ b/tests/mixed_troubles_test.cpp
@@ -120,6 +120,16 @@
      }},
     // A start without an answer executes up to 90 s later, when its job has long been called off.
     {"CancelledStartsHeldUp", [](Mix& m, double) { m.withdraw_starting(); }, 0.02, 0.05, 0.3, 0.12, 0.3},
+    // Commands end tasks and start others while the report of the first change is still on its way: the replies
+    // overtake it. Then the machines reach nobody for longer than a lease.
+    {"ReportsCrossRepliesThenMute",
+     [](Mix& m, double) {
+         for (double at : {40.0, 95.0, 150.0}) {
+             if (m.once(at) || m.once(at + 1) || m.once(at + 2)) m.withdraw_running(3);
+             if (m.once(at + 3)) m.mute(0.7, 40);
+         }
+     },
+     0.02, 0.05, 0.3, 0.12, 0.03, false, 0.5},
     {"Upgrade", [](Mix&, double) {}, 0.02, 0.05, 0.3, 0.06, 0.03, true},
     {"UpgradeWithCrashes",
      [](Mix& m, double) {
--- a/tests/mixed_world.hpp
+++ b/tests/mixed_world.hpp
@@ -1,14 +1,16 @@
 // A world of controllers, machines and users on a virtual clock, with troubles that a seed or a scenario brings:
 // controllers that crash and are back in a moment, lose the store, their peers or the workers; member leases that run
 // out; transactions that apply late; zones cut off with a controller inside; machines that die, restart, hang, hear
-// nobody or reach nobody; commands that execute late; copies of reports; an upgrade, and limits that fall. The rules
-// are checked at every step, and when the troubles are over every accepted job ends or serves, is known everywhere, and
-// waits beside no free machine.
+// nobody or reach nobody; commands that execute late; copies of reports; an upgrade, and limits that fall. Reports,
+// commands and their replies take time on the way, so that they may overtake one another. The rules are checked at
+// every step, and when the troubles are over every accepted job ends or serves, is known everywhere, and waits beside
+// no free machine.
 #pragma once
 
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <functional>
 #include <random>
 
 #include "controller/core.hpp"
@@ -25,9 +27,11 @@
 constexpr double kStep = 0.25, kTroublesUntil = 240, kEnd = 2400;
 constexpr double kLeaseS = 20, kCancelS = 45, kMemberTtlS = 5;
 constexpr double kRedCores = 20, kBlueCores = 24;
-constexpr double kServicesFrom = 90;  // when the upgrade is over
-constexpr int kMostServices = 1;      // it keeps its room until the end: more might leave a gang none for ever
-constexpr double kLongestWaitS = 90;  // after the troubles, of a job that some machine has room for
+constexpr double kServicesFrom = 90;    // when the upgrade is over
+constexpr int kMostServices = 1;        // it keeps its room until the end: more might leave a gang none for ever
+constexpr double kLongestWaitS = 90;    // after the troubles, of a job that some machine has room for
+constexpr double kReportTimeoutS = 4;   // a worker waits no longer for the answer to a report
+constexpr double kChangeReportS = 0.5;  // reports of a change come no closer together
 
 struct Task {
     std::uint32_t attempt = 0;
@@ -43,9 +47,12 @@
     bool there = true;
     std::uint64_t tenure = 1, tick = 0, baton = 0;
     double sentOk = 0, nextReport = 0;
-    double deafUntil = 0;  // hears nobody
-    double muteUntil = 0;  // reaches nobody, commands reach it
-    double hungUntil = 0;  // does nothing at all; goes on where it was
+    double lastSent = -kReportTimeoutS;
+    bool renewed = false;       // some report of this session has been answered
+    std::uint64_t awaited = 0;  // number of the report that is on its way or waits for its answer; 0: none
+    double deafUntil = 0;       // hears nobody
+    double muteUntil = 0;       // reaches nobody, commands reach it
+    double hungUntil = 0;       // does nothing at all; goes on where it was
     std::size_t node = 0;
     std::map<model::TaskKey, Task> tasks;
 };
@@ -74,6 +81,7 @@
     double urgent = 0.3, demand = 0.06;
     double lostCommands = 0.03;  // share of commands that get no answer; half of these execute late
     bool upgrade = false;        // begins with old versions, which are replaced one after the other; then limits fall
+    double slowMessages = 0.1;   // share of reports, commands, answers and replies that take up to two seconds each
 };
 
 // What the state service takes once its limits have fallen: a range of eight machines is too large for it.
@@ -82,7 +90,7 @@
 
 class Mix {
   public:
-    explicit Mix(unsigned seed, const Scenario* scenario = nullptr) : random_(seed) {
+    explicit Mix(unsigned seed, const Scenario* scenario = nullptr) : random_(seed), network_random_(seed) {
         if (scenario) scenario_ = *scenario;
         app::Settings s = site_settings();
         s.leaseS = kLeaseS, s.cancelS = kCancelS;
@@ -129,6 +137,7 @@
             end_member_leases();
             for (Worker& w : workers_) expire(w);
             late();
+            deliver();
             // All plan on what they have read before any of them writes, as controllers do.
             for (Node& n : nodes_) serve(n);
             for (Node& n : nodes_) act(n);
@@ -251,7 +260,7 @@
         return w.there && now_ >= n.cutWorkersUntil && now_ >= w.hungUntil && !apart(n.settings.location, w.hall);
     }
     bool all_over() const {
-        return lateTxns_.empty() && lateOrders_.empty() && copies_.empty() &&
+        return lateTxns_.empty() && lateOrders_.empty() && copies_.empty() && network_.empty() &&
                std::all_of(jobs_.begin(), jobs_.end(), [&](const auto& j) {
                    const JobNote& job = j.second;
                    bool serves = job.spec.service() && !job.asked && replicas(j.first) == job.spec.steps;
@@ -364,6 +373,9 @@
             case 7:  // it restarts in a moment
                 w.tasks.clear();
                 ++w.tenure;
+                w.sentOk = now_;
+                w.renewed = false;
+                w.awaited = 0;
                 break;
             case 8:  // it hears nobody
             case 9:
@@ -602,26 +614,77 @@
         n.core->set_member_state(model::judge(n.core->member_state(), h, {kCancelS, kLeaseS}), moment());
     }
 
+    // How long one message takes. Most are there within the step in which they were sent.
+    double flight_time() {
+        std::uniform_real_distribution<double> share(0, 1), slow(kStep, 2);
+        return share(network_random_) < scenario_.slowMessages && now_ < kTroublesUntil ? slow(network_random_) : 0;
+    }
+    void after(double delayS, std::function<void()> arrival) {
+        if (delayS <= 0)
+            arrival();
+        else
+            network_.emplace(now_ + delayS, std::move(arrival));
+    }
+    void deliver() {
+        while (!network_.empty() && network_.begin()->first <= now_) {
+            auto arrival = std::move(network_.begin()->second);
+            network_.erase(network_.begin());
+            arrival();
+        }
+    }
+    // The process that sent a request, if it still runs.
+    Core* process(std::size_t node, std::uint64_t incarnation) {
+        Node& n = nodes_[node];
+        return n.core && n.incarnation == incarnation ? n.core.get() : nullptr;
+    }
+    Worker* worker(const std::string& name) {
+        auto w = std::find_if(workers_.begin(), workers_.end(),
+                              [&](const Worker& each) { return each.there && each.name == name; });
+        return w == workers_.end() ? nullptr : &*w;
+    }
+
+    struct Command {
+        std::size_t node;
+        std::uint64_t incarnation;
+        std::string host;
+        std::uint64_t tenure, baton;
+        std::vector<wire::Order> orders;
+    };
+
     void command(Node& n, const std::string& host, const std::vector<wire::Order>& orders) {
-        auto* record = n.core->view().host(host);
-        auto* notes = n.core->notes(host);
-        std::uint64_t baton = record->baton, tenure = notes->tenure;
+        auto node = static_cast<std::size_t>(
+            std::find_if(nodes_.begin(), nodes_.end(), [&](const Node& each) { return &each == &n; }) - nodes_.begin());
+        Command sent{node, n.incarnation, host, n.core->notes(host)->tenure, n.core->view().host(host)->baton, orders};
         n.core->commands_sent(host, orders, moment());
-        auto w = std::find_if(workers_.begin(), workers_.end(),
-                              [&](const Worker& each) { return each.there && each.name == host; });
-        bool reaches = w != workers_.end() && reach(n, *w) && now_ >= w->deafUntil;
+        const double sentS = now_;
+        after(flight_time(), [this, sent, sentS] { arrive(sent, sentS); });
+    }
+
+    // A command reaches its machine, or is lost on the way.
+    void arrive(const Command& c, double sentS) {
+        Worker* w = worker(c.host);
+        bool reaches = w && reach(nodes_[c.node], *w) && now_ >= w->deafUntil;
         if (!reaches || (chance(scenario_.lostCommands) && now_ < kTroublesUntil)) {
-            bool hangs = w != workers_.end() && now_ < w->hungUntil;
-            if (hangs || chance(0.5)) lateOrders_.push_back({now_ + between(0.5, 90), host, tenure, baton, orders});
-            n.core->commands_answered(host, orders, false, baton);
+            bool hangs = w && now_ < w->hungUntil;
+            if (hangs || chance(0.5))
+                lateOrders_.push_back({now_ + between(0.5, 90), c.host, c.tenure, c.baton, c.orders});
+            if (Core* core = process(c.node, c.incarnation)) core->commands_answered(c.host, c.orders, false, c.baton);
             return;
         }
-        if (tenure == w->tenure && baton >= w->baton) {
-            w->baton = baton;
-            execute(*w, orders);
+        if (c.tenure == w->tenure && c.baton >= w->baton) {
+            w->baton = c.baton;
+            execute(*w, c.orders);
+            report_change(*w);
         }
-        n.core->digest(report(*w), false, moment());
-        n.core->commands_answered(host, orders, true, baton);
+        const double timeoutS = 0.6 * nodes_[c.node].settings.reportS;
+        const double back = flight_time();
+        const bool inTime = now_ + back - sentS <= timeoutS;
+        after(inTime ? back : std::max(0.0, sentS + timeoutS - now_), [this, c, inTime, reply = report(*w)] {
+            Core* core = process(c.node, c.incarnation);
+            if (!core) return;
+            if (inTime) core->digest(reply, false, moment());
+            core->commands_answered(c.host, c.orders, inTime, c.baton);
+        });
     }
 
     void execute(Worker& w, const std::vector<wire::Order>& orders) {
@@ -692,6 +755,8 @@
         w.tasks.clear();
         ++w.tenure;
         w.sentOk = now_;
+        w.renewed = false;
+        w.awaited = 0;
     }
 
     void live(Worker& w) {
@@ -725,32 +790,60 @@
             } else if (!whole && now_ - t.wholeAt > 8) {
                 t.phase = wire::TaskPhase::ended, t.cause = wire::Cause::peers;
             }
+            if (t.phase == wire::TaskPhase::ended) report_change(w);
         }
-        if (now_ < w.nextReport) return;
+        if (w.awaited && now_ >= w.lastSent + kReportTimeoutS) try_next(w, 1);
+        if (w.awaited || now_ < w.nextReport) return;
         w.nextReport = now_ + between(2.25, 3.75);
-        Node& n = nodes_[w.node];
-        double sent = now_;
+        send_report(w);
+    }
+
+    // A change is reported at once, though not more often than every half second.
+    void report_change(Worker& w) {
+        w.nextReport = std::min(w.nextReport, std::max(now_, w.lastSent + kChangeReportS));
+    }
+
+    void try_next(Worker& w, double inS) {
+        w.awaited = 0;
+        w.node = (w.node + 1) % nodes_.size();
+        w.nextReport = now_ + inS;
+    }
+
+    void send_report(Worker& w) {
         wire::Report r = report(w);
+        w.lastSent = now_;
+        w.awaited = r.tick;
         if (chance(scenario_.lateCopies) && now_ < kTroublesUntil)
             copies_.push_back({now_ + between(1, 80), w.node, r});
-        Reply reply;
-        bool heard = n.core && reach(n, w) && now_ >= w.muteUntil;
-        if (heard) {
+        if (now_ < w.muteUntil) return;
+        after(flight_time(), [this, name = w.name, node = w.node, r] {
+            Worker* w = worker(name);
+            Node& n = nodes_[node];
+            if (!w || !n.core || !reach(n, *w)) return;
             judge(n);
-            reply = answer(n, r);
-        }
-        if (!heard || now_ < w.deafUntil || reply.status == 503) {
-            w.node = (w.node + 1) % nodes_.size();
-            w.nextReport = now_ + (heard && reply.status == 503 ? 1 : 5);
+            Reply reply = answer(n, r);
+            after(flight_time(), [this, name, r, reply] { take_answer(name, r, reply); });
+        });
+    }
+
+    // An answer that comes too late, or to a report of an earlier session, is dropped.
+    void take_answer(const std::string& name, const wire::Report& r, const Reply& reply) {
+        Worker* w = worker(name);
+        if (!w || now_ < w->deafUntil || now_ < w->hungUntil) return;
+        if (w->tenure != r.tenure || w->awaited != r.tick || now_ >= w->lastSent + kReportTimeoutS) return;
+        w->awaited = 0;
+        if (reply.status == 503) {
+            try_next(*w, 1);
         } else if (reply.status == 421) {
             for (std::size_t i = 0; i < nodes_.size(); ++i)
-                if (nodes_[i].settings.member == reply.foreman) w.node = i;
-            w.nextReport = now_ + 0.25;
-        } else if (reply.baton >= w.baton) {
-            if (reply.baton > w.baton) w.nextReport = now_ + 0.5;
-            w.baton = reply.baton;
-            w.sentOk = sent;
-            execute(w, reply.orders);
+                if (nodes_[i].settings.member == reply.foreman) w->node = i;
+            w->nextReport = now_ + 0.25;
+        } else if (reply.baton >= w->baton) {
+            if (reply.baton > w->baton) w->nextReport = now_ + 0.5;
+            w->baton = reply.baton;
+            w->sentOk = w->lastSent;
+            w->renewed = true;
+            execute(*w, reply.orders);
         }
     }
 
@@ -868,6 +961,7 @@
                     EXPECT_FALSE(job.withdrawn >= 0 && now_ > job.withdrawn + kCancelS)
                         << key.first << " runs on " << w.name << " " << now_ - job.withdrawn << " s after its end";
                 }
+        check_leases();
         EXPECT_LE(used["red"], kRedCores) << "the limit of team red at " << now_;
         EXPECT_LE(used["blue"], kBlueCores) << "the limit of team blue at " << now_;
         check_waiting(used);
@@ -899,6 +993,21 @@
         }
     }
 
+    // The controller whose token a machine obeys may not count its lease as ended before the machine itself does.
+    void check_leases() {
+        for (Node& n : nodes_) {
+            if (!n.core) continue;
+            for (const Worker& w : workers_) {
+                const auto* notes = w.there ? n.core->notes(w.name) : nullptr;
+                if (!notes || notes->state != model::HostState::expired) continue;
+                if (notes->keepBaton != w.baton || notes->tenure != w.tenure || !w.renewed) continue;
+                EXPECT_GE(now_ - w.sentOk, kLeaseS)
+                    << n.settings.member << " counts the lease of " << w.name << " as ended at " << now_
+                    << ", the machine counts it from " << w.sentOk;
+            }
+        }
+    }
+
     struct LateOrders {
         double at;
         std::string host;
@@ -910,7 +1019,8 @@
         std::size_t node;
         wire::Report report;
     };
-    std::mt19937 random_;
+    std::mt19937 random_, network_random_;
+    std::multimap<double, std::function<void()>> network_;  // what is on its way, by arrival
     Scenario scenario_{"mix", nullptr};
     double withdrawAtEnd_ = 0.02, outageUntil_ = 0;
     std::map<std::string, double> zoneCutUntil_;
