The answer to a report renews the lease and counts it, in one place

Cause: a check-in was answered with 200, which renews the worker's lease, whenever the machine was kept here; the controller's own count of that lease was renewed only when the report's contents were new. The reply to a command that overtakes a report carries the larger number, so the report was answered and not counted: the count ended up to a report interval and more before the machine's own lease, and the tasks were started elsewhere.

Change: model::WorkerLease counts by the numbers of check-ins alone. Core::check_in is the only place that grants a 200, and it refuses with 503 what WorkerLease::renew refuses: reports that are not newer than the last one answered, which nobody waits for. The two constants for the drift of clocks (1.001 in standing, 1.002 here) are one, the larger.

Log: silence and expiry with the report and the age that they rest on, answers to overtaken reports, refused copies, a machine that is back in a session whose lease was counted as ended.

--- a/src/controller/cancellation.cpp
+++ b/src/controller/cancellation.cpp
@@ -59,7 +59,7 @@
     if (now.steady - liveSinceS_ < 3 * settings_.reportS) return false;
     if (n.state == HostState::silent || n.state == HostState::expired)
         // Cancelled after its last report, or it would have ended the task on the answer to that.
-        return now.steady - n.lastReportS > kPart * settings_.cancelS &&
+        return n.lease.age(now.steady) > kPart * settings_.cancelS &&
                std::any_of(n.tasks.begin(), n.tasks.end(), [&](const auto& t) {
                    return t.second.phase != wire::TaskPhase::ended && cancelled(t.first.first);
                });
--- a/src/controller/commands.cpp
+++ b/src/controller/commands.cpp
@@ -72,7 +72,7 @@
             if (note.attempt != o.attempt) note = {};
             if (!note.attempt) note.tenure = n->tenure;
             note.attempt = o.attempt;
-            note.tick = n->checkinTick;
+            note.tick = n->lease.number();
         }
     return all;
 }
@@ -123,7 +123,7 @@
         if (o.verb == wire::Verb::start) {
             StartNote& note = n.starts[{o.job, o.index}];
             if (note.attempt != o.attempt) note = {};
-            if (!note.attempt) note.tenure = n.tenure, note.tick = n.checkinTick;
+            if (!note.attempt) note.tenure = n.tenure, note.tick = n.lease.number();
             note.attempt = o.attempt;
             note.commandedS = now.steady;
             ++note.inFlight;
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -15,14 +15,6 @@
 using model::Step;
 using wire::Json;
 
-namespace {
-
-// Two steady clocks may drift apart by 0.05%; and the report's sending precedes its arrival, never follows it.
-constexpr double kDrift = 1.002;
-constexpr double kTimerSlackS = 0.1;
-
-}  // namespace
-
 std::uint64_t Core::mix(std::string_view a, std::string_view b) {
     std::uint64_t h = 1469598103934665603ull;
     for (std::string_view s : {a, std::string_view("|"), b})
@@ -46,6 +38,7 @@
         if (kept_here(&h)) {
             HostNotes& n = notes_[h.name];
             n.begin_keepership(h.baton, now_.steady);
+            spdlog::debug("host {} is kept here under token {} at revision {}", h.name, h.baton, h.range->stamp);
             n.address = h.address;
         }
         mark(h);
@@ -202,7 +195,7 @@
                 n.state.become(HostState::released);
                 spdlog::info("host {} is no longer kept here", name);
             }
-            if (now.steady - n.lastReportS > settings_.leaseS) {
+            if (n.lease.age(now.steady) > settings_.leaseS) {
                 it = notes_.erase(it);
                 continue;
             }
@@ -211,15 +204,15 @@
         }
         if (n.state == HostState::fenced && silent(n, now)) {
             n.state.become(HostState::silent);
-            spdlog::info("host {} is silent", name);
+            spdlog::info("host {} is silent: lease {}", name, n.lease.describe(now.steady));
             changed = true;
             planDue_ = true;
         }
-        // The lease counts from when the last answered report was sent, which is before it came in here. Only our
-        // own baton can renew it (the host has confirmed it), and nobody else may use that.
-        if (n.state == HostState::silent && now.steady - n.lastReportS > settings_.leaseS * kDrift + kTimerSlackS) {
+        // Only our own baton can renew the lease (the host has confirmed it), and nobody else may use that.
+        if (n.state == HostState::silent && n.lease.ended(now.steady, settings_.leaseS)) {
             n.state.become(HostState::expired);
-            spdlog::info("host {} has expired with {} steps", name, h ? h->placed.size() : 0);
+            spdlog::info("host {} has expired with {} steps: lease {}, newest report {}/{}, token {}", name,
+                         h ? h->placed.size() : 0, n.lease.describe(now.steady), n.tenure, n.tick, n.keepBaton);
             changed = true;
             due_.insert(name);
         }
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -45,6 +45,19 @@
     std::string foreman;
 };
 
+// What a worker's report is answered with.
+struct CheckinAnswer {
+    enum Kind {
+        renewed,   // 200: the worker's lease is renewed, and counted here
+        claiming,  // the machine's registration is on its way to the state service: ask again
+        redirect,  // 421: another controller keeps it
+        refuse,    // 503
+    } kind = refuse;
+    std::string foreman;      // redirect: whom it should report to
+    std::uint64_t baton = 0;  // renewed: the fencing token
+    std::vector<wire::Order> orders;
+};
+
 struct RentalOrder {
     std::string build, hall;
     bool loaner = false;
@@ -73,15 +86,18 @@
     std::optional<std::string> never_runs(const wire::JobSpec& spec, bool& unsure) const;
 
     // --- workers
-    Admission admit(const wire::Report& r, Moment now);
-    // Of a host that is kept here: takes the report in.
-    void digest(const wire::Report& r, bool checkin, Moment now);
+    // Answers a worker's report. The only place that grants an answer of 200, which renews the worker's lease, and
+    // counts that lease from the same moment.
+    CheckinAnswer check_in(const wire::Report& r, Moment now);
+    // The report that a command was answered with: it tells what is on the machine and renews nothing.
+    void take_command_reply(const wire::Report& r, Moment now);
     std::vector<wire::Order> orders(const std::string& host, bool byCommand, Moment now);
     // Orders that should go out now rather than with their hosts' next reports.
     std::vector<std::pair<std::string, std::vector<wire::Order>>> commands_due(Moment now);
     void commands_sent(const std::string& host, const std::vector<wire::Order>& orders, Moment now);
     void commands_answered(const std::string& host, const std::vector<wire::Order>& orders, bool answered,
                            std::uint64_t baton);
+    // Asks the next round to register the machine here.
     void note_claim(const wire::Report& r);
     model::HostNotes* notes(const std::string& host);
 
@@ -144,6 +160,11 @@
     static const char* phase_name(const model::Job& job);
 
   private:
+    Admission admit(const wire::Report& r, Moment now);
+    // Whether a report of a machine kept here may be answered with 200; then the lease is counted from now.
+    bool renew_lease(const wire::Report& r, Moment now);
+    // Takes in what a report of a machine kept here tells, unless something newer is known.
+    void take_report(const wire::Report& r, model::ReportSource source, Moment now);
     enum class Proof { none, done, gone };
     Proof proof(const model::HostRecord& h, const model::StepRef& ref);
     // Every host that may have something to do is in `due_`; a round looks at these alone.
@@ -152,7 +173,7 @@
     bool settled(const model::HostRecord& h, const model::HostNotes& n) const;
     // For so long a host that is well has never been quiet.
     bool silent(const model::HostNotes& n, Moment now) const {
-        return now.steady - n.lastReportS > kSilentReports * settings_.reportS;
+        return n.lease.age(now.steady) > kSilentReports * settings_.reportS;
     }
     static constexpr double kSilentReports = 1.6;  // intervals: they vary by a quarter, and one may be late
     bool layout_switched() const { return view_->layout().version >= model::kLayoutWithParts; }
--- a/src/controller/returns.cpp
+++ b/src/controller/returns.cpp
@@ -41,7 +41,7 @@
         bool faulty = n.failedJobs.size() >= 2 && n.failures >= 3;
         bool confirmed = n.state == HostState::fenced || n.state == HostState::silent;
         // Expired, or never confirmed and silent since: only the cloud's word frees what the latter may hold.
-        bool lost = !confirmed && n.lastReportS > 0 && now.steady - n.lastReportS > 2 * settings_.leaseS;
+        bool lost = !confirmed && n.lease.begun() && n.lease.age(now.steady) > 2 * settings_.leaseS;
         // It reports and hears nobody: no work can be sent there, and reports alone prove nothing of what it holds.
         bool deaf = (n.deaf() && now.steady - n.deafSinceS > 2 * settings_.leaseS) ||
                     (n.state == HostState::kept && now.steady - n.unconfirmedS > 3 * settings_.leaseS);
@@ -51,13 +51,13 @@
         // machines.
         const auto& [quiet, all] = quietOf[h->hall];
         bool holdsUp =
-            now.steady - n.lastReportS > noticed && 3 * quiet <= all &&
+            n.lease.age(now.steady) > noticed && 3 * quiet <= all &&
             std::any_of(h->placed.begin(), h->placed.end(), [](const StepRef& ref) { return ref.job->wide_gang(); });
         // Where half of all is silent, it is rather this controller that is cut off, and others take them over.
         const bool cutOff = 2 * quietHere >= allHere;
         bool cancelled = !cutOff && holds_cancelled(*h, n, now);
         bool service = !cutOff && 3 * quiet <= all && n.state == HostState::silent &&
-                       now.steady - n.lastReportS > kServiceSilentReports * settings_.reportS && holds_service(*h);
+                       n.lease.age(now.steady) > kServiceSilentReports * settings_.reportS && holds_service(*h);
         if (faulty || lost || deaf || holdsUp || cancelled || service) {
             bool saves = (faulty || deaf) && !cancelled;
             const char* why = faulty    ? "faulty"
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -468,7 +468,7 @@
 asio::awaitable<void> Service::command(std::string host, std::vector<wire::Order> orders, std::uint64_t baton,
                                        std::uint64_t tenure, std::string address) {
     auto r = co_await channels_.command(host, address, baton, tenure, orders, settings_.reportS * 0.6);
-    if (r.report && r.report->host == host) core_.digest(*r.report, false, now());
+    if (r.report && r.report->host == host) core_.take_command_reply(*r.report, now());
     core_.commands_answered(host, orders, r.answered, baton);
     if (!r.answered) spdlog::info("no answer from {} to {} commands", host, orders.size());
     work_.notify();
@@ -635,21 +635,22 @@
     // The worker gives up after 4 s; what it no longer waits for would only hold it here.
     double until = net::steady_now() + 2.5;
     for (;;) {
-        Admission a = core_.admit(*report, now());
-        if (a.kind == Admission::redirect) co_return steer(a.foreman);
-        if (a.kind == Admission::refuse) co_return unavailable("not entitled to act for the controllers now");
-        if (a.kind == Admission::kept) break;
-        core_.note_claim(*report);
-        work_.notify();
+        CheckinAnswer answer = core_.check_in(*report, now());
+        if (core_.dirty()) work_.notify();
+        switch (answer.kind) {
+            case CheckinAnswer::renewed:
+                co_return orders_reply(answer.baton, answer.orders);
+            case CheckinAnswer::redirect:
+                co_return steer(answer.foreman);
+            case CheckinAnswer::refuse:
+                co_return unavailable("not entitled to act for the controllers now");
+            case CheckinAnswer::claiming:
+                break;
+        }
         double left = until - net::steady_now();
         if (left <= 0) co_return unavailable("the registration of the host is not durable yet");
         co_await changed_.wait(std::min(left, 0.5));
     }
-    core_.digest(*report, true, now());
-    auto* h = core_.view().host(report->host);
-    auto orders = core_.orders(report->host, false, now());
-    if (core_.dirty()) work_.notify();
-    co_return orders_reply(h->baton, orders);
 }
 
 // ---------------------------------------------------------------- cloud
--- a/src/controller/task_states.cpp
+++ b/src/controller/task_states.cpp
@@ -30,17 +30,57 @@
 
 }  // namespace
 
-void Core::digest(const wire::Report& r, bool checkin, Moment now) {
+CheckinAnswer Core::check_in(const wire::Report& r, Moment now) {
+    Admission admission = admit(r, now);
+    CheckinAnswer answer;
+    if (admission.kind == Admission::redirect) {
+        answer.kind = CheckinAnswer::redirect;
+        answer.foreman = admission.foreman;
+    } else if (admission.kind == Admission::claim) {
+        answer.kind = CheckinAnswer::claiming;
+        note_claim(r);
+    } else if (admission.kind == Admission::kept && renew_lease(r, now)) {
+        take_report(r, model::ReportSource::checkin, now);
+        answer.kind = CheckinAnswer::renewed;
+        answer.baton = view_->host(r.host)->baton;
+        answer.orders = orders(r.host, false, now);
+    }
+    return answer;
+}
+
+bool Core::renew_lease(const wire::Report& r, Moment now) {
+    HostNotes& n = notes_[r.host];
+    const bool countedAsEnded = n.state == HostState::expired && r.tenure == n.lease.session();
+    const model::WorkerLease before = n.lease;
+    if (!n.lease.renew(r.tenure, r.tick, now.steady)) {
+        spdlog::debug("report {}/{} of {} is refused as older: lease {}", r.tenure, r.tick, r.host,
+                      before.describe(now.steady));
+        return false;
+    }
+    if (countedAsEnded)
+        spdlog::warn("host {} reports in a session whose lease was counted as ended: {}", r.host,
+                     before.describe(now.steady));
+    if (!n.newer(r))
+        spdlog::debug("report {}/{} of {} was overtaken by report {}/{}: its answer renews the lease, which was {}",
+                      r.tenure, r.tick, r.host, n.tenure, n.tick, before.describe(now.steady));
+    return true;
+}
+
+void Core::take_command_reply(const wire::Report& r, Moment now) {
+    take_report(r, model::ReportSource::command_reply, now);
+}
+
+void Core::take_report(const wire::Report& r, model::ReportSource source, Moment now) {
     now_ = now;
     HostRecord* h = view_->host(r.host);
     if (!kept_here(h)) return;
     HostNotes& n = notes_[r.host];
-    if (!n.newer(r)) return;  // held back on the way: as old as it is
+    if (!n.newer(r)) return;  // held back on the way, or overtaken: as old as it is
+    const bool checkin = source == model::ReportSource::checkin;
     std::map<TaskKey, model::Seen> before = n.tasks;
     int gapsBefore = n.gaps;
     bool fencedBefore = n.state == HostState::fenced, reclaimBefore = n.reclaimS.has_value();
-    n.take(r, checkin, now.steady);
-    if (checkin) n.lastReportS = now.steady;
+    n.take(r, source, now.steady);
     bool changed = before.size() != n.tasks.size() || reclaimBefore != n.reclaimS.has_value();
     if (n.gaps != gapsBefore) planDue_ = true;
     if (gapsBefore < 2 && n.deaf()) spdlog::info("host {} reports, but our answers do not reach it", r.host);
@@ -183,7 +223,7 @@
     if (!sent) return stopping(*ref.job, s) || h.leaves() ? Proof::gone : Proof::none;  // never sent
     if (sent->seen) return Proof::gone;
     // Sent with a report's answer and absent from a newer report: it was dropped there and cannot come late.
-    if (stopping(*ref.job, s) && n.checkinTick > sent->tick) return Proof::gone;
+    if (stopping(*ref.job, s) && n.lease.number() > sent->tick) return Proof::gone;
     return Proof::none;
 }
 
--- a/src/model/standing.cpp
+++ b/src/model/standing.cpp
@@ -1,19 +1,19 @@
 #include "model/standing.hpp"
 
+#include "model/clock_drift.hpp"
+
 namespace wellstair::model {
 
 namespace {
 constexpr double kSilentS = 1.5;  // "usually under 10 ms, occasionally a few hundred"
 constexpr double kApartS = 1.0;   // without store and peers: then unhealthy
 constexpr double kMuteS = 4.0;    // live, but no read of the state succeeds: then unhealthy
-// Of a lease and of cancel_s: two steady clocks drift apart by 0.05%, twice that is certain.
-constexpr double kDrift = 1.001;
 // Timers fire late, standing is judged four times a second, and what is judged may be sent a moment later.
 constexpr double kLateS = 1.0;
 }  // namespace
 
 double answers_for(const StandingLimits& l) {
-    return l.cancelS / kDrift - l.leaseS * kDrift - kLateS;
+    return l.cancelS / kClockDriftFactor - l.leaseS * kClockDriftFactor - kLateS;
 }
 
 MemberState judge(MemberState now, const Heard& h, const StandingLimits& l) {
