Log and count what answers, starts, ends and leases rest on; the cloud role is judged before each call

Once a minute the counts of check-ins answered, overtaken, refused as older, leases ended, machines back in an ended session, and the share of the lease that passed between renewals.

Second fault, found by looking for a right that is checked in one path and not in another: the cloud's caller looked at its standing once a round and then made up to thirty calls of up to four seconds each, by its picture of the state service alone, which cannot show that the role is gone when the state service refuses this controller. (That controller/service asks it has no test: tests don't link it.)

--- /dev/null
+++ b/src/controller/checkin_statistics.cpp
@@ -0,0 +1,42 @@
+#include "controller/checkin_statistics.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace wellstair::controller {
+
+namespace {
+
+constexpr unsigned kBins = 40;
+constexpr double kLargestShare = 2;  // of the lease; what is above is counted in the last bin
+
+}  // namespace
+
+CheckinStatistics::CheckinStatistics()
+    : leaseShares_(boost::histogram::make_histogram(Axis(kBins, 0, kLargestShare))) {}
+
+void CheckinStatistics::answered(double leaseShare, bool overtaken) {
+    ++answered_;
+    overtaken_ += overtaken;
+    leaseShares_(leaseShare);
+}
+
+double CheckinStatistics::quantile(double q) const {
+    const double wanted = q * boost::histogram::algorithm::sum(leaseShares_);
+    double below = 0;
+    for (auto&& bin : boost::histogram::indexed(leaseShares_)) {
+        below += static_cast<double>(*bin);
+        if (below >= wanted) return bin.bin().upper();
+    }
+    return kLargestShare;
+}
+
+std::string CheckinStatistics::take_summary() {
+    std::string line = fmt::format(
+        "check-ins: {} answered, {} of them overtaken by a command's reply, {} refused as older; share of the lease "
+        "between renewals: median {:.2f}, 99% {:.2f}; {} leases ended, {} machines back in an ended session",
+        answered_, overtaken_, refusedAsOlder_, quantile(0.5), quantile(0.99), leasesEnded_, backInEndedSession_);
+    *this = CheckinStatistics();
+    return line;
+}
+
+}  // namespace wellstair::controller
--- /dev/null
+++ b/src/controller/checkin_statistics.hpp
@@ -0,0 +1,34 @@
+// Counts what became of workers' reports, and how close renewals come to the end of the lease.
+#pragma once
+
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <string>
+
+namespace wellstair::controller {
+
+class CheckinStatistics {
+  public:
+    CheckinStatistics();
+
+    // An answer that renews a lease. `leaseShare`: what part of the lease had passed since the last one.
+    void answered(double leaseShare, bool overtaken);
+    void refused_as_older() { ++refusedAsOlder_; }
+    void lease_ended() { ++leasesEnded_; }
+    // A machine reports in a session whose lease was counted as ended. Beside reports that were held back on the way,
+    // this shows a lease that was counted too short.
+    void back_in_ended_session() { ++backInEndedSession_; }
+
+    // One line for the log; the counts begin anew.
+    std::string take_summary();
+
+  private:
+    // The upper bound of the bin in which this quantile lies, as a share of the lease.
+    double quantile(double q) const;
+
+    using Axis = boost::histogram::axis::regular<>;
+    boost::histogram::histogram<std::tuple<Axis>> leaseShares_;
+    std::uint64_t answered_ = 0, overtaken_ = 0, refusedAsOlder_ = 0, leasesEnded_ = 0, backInEndedSession_ = 0;
+};
+
+}  // namespace wellstair::controller
--- a/src/controller/commands.cpp
+++ b/src/controller/commands.cpp
@@ -1,4 +1,6 @@
 // The commands to machines, by the answers to their reports and straight to their addresses.
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 #include "controller/core.hpp"
@@ -73,6 +75,7 @@
             if (!note.attempt) note.tenure = n->tenure;
             note.attempt = o.attempt;
             note.tick = n->lease.number();
+            log_start(*h, o, "the answer to a report", now);
         }
     return all;
 }
@@ -117,6 +120,13 @@
     return out;
 }
 
+void Core::log_start(const HostRecord& h, const wire::Order& start, const char* sentBy, Moment now) const {
+    if (!spdlog::should_log(spdlog::level::debug)) return;
+    const HostNotes& n = notes_.at(h.name);
+    spdlog::debug("start {}/{} attempt {} on {} by {}: token {} confirmed in session {}, lease {}", start.job,
+                  start.index, start.attempt, h.name, sentBy, h.baton, n.tenure, n.lease.describe(now.steady));
+}
+
 void Core::commands_sent(const std::string& host, const std::vector<wire::Order>& orders, Moment now) {
     HostNotes& n = notes_[host];
     for (const wire::Order& o : orders) {
@@ -126,6 +136,7 @@
             if (!note.attempt) note.tenure = n.tenure, note.tick = n.lease.number();
             note.attempt = o.attempt;
             note.commandedS = now.steady;
+            if (const HostRecord* h = view_->host(host)) log_start(*h, o, "command", now);
             ++note.inFlight;
         } else if (o.verb == wire::Verb::halt) {
             n.halts[{o.job, o.index}] = {o.attempt, now.steady - 1e-3};
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -211,6 +211,7 @@
         // Only our own baton can renew the lease (the host has confirmed it), and nobody else may use that.
         if (n.state == HostState::silent && n.lease.ended(now.steady, settings_.leaseS)) {
             n.state.become(HostState::expired);
+            checkinStatistics_.lease_ended();
             spdlog::info("host {} has expired with {} steps: lease {}, newest report {}/{}, token {}", name,
                          h ? h->placed.size() : 0, n.lease.describe(now.steady), n.tenure, n.tick, n.keepBaton);
             changed = true;
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "app/settings.hpp"
+#include "controller/checkin_statistics.hpp"
 #include "controller/draft.hpp"
 #include "model/host.hpp"
 #include "model/view.hpp"
@@ -97,6 +98,7 @@
     void commands_sent(const std::string& host, const std::vector<wire::Order>& orders, Moment now);
     void commands_answered(const std::string& host, const std::vector<wire::Order>& orders, bool answered,
                            std::uint64_t baton);
+    CheckinStatistics& checkin_statistics() { return checkinStatistics_; }
     // Asks the next round to register the machine here.
     void note_claim(const wire::Report& r);
     model::HostNotes* notes(const std::string& host);
@@ -128,6 +130,8 @@
         return !view_->cloud_role_stamp() || (view_->cloud_role() == settings_.member && !holds_cloud_role());
     }
     bool take_cloud_role(Draft& draft, std::uint64_t hold) const;
+    // Asked before each call: the role lasts as long as the member's lease, which may end while a call is under way.
+    bool may_call_cloud() const { return member_ == model::MemberState::live && member_stamp() && holds_cloud_role(); }
     struct CloudView {
         std::vector<wire::Machine> machines;
         double atS = -1e9;
@@ -165,7 +169,10 @@
     bool renew_lease(const wire::Report& r, Moment now);
     // Takes in what a report of a machine kept here tells, unless something newer is known.
     void take_report(const wire::Report& r, model::ReportSource source, Moment now);
-    enum class Proof { none, done, gone };
+    struct Proof {
+        enum Verdict { none, done, gone } verdict = none;
+        const char* reason = "";
+    };
     Proof proof(const model::HostRecord& h, const model::StepRef& ref);
     // Every host that may have something to do is in `due_`; a round looks at these alone.
     void mark(const model::HostRecord& h) { due_.insert(h.name); }
@@ -192,6 +199,7 @@
     bool cancelled(const model::Job& job) const;
     bool may_start_cancelled(const model::HostRecord& h) const;
     bool holds_cancelled(const model::HostRecord& h, const model::HostNotes& n, Moment now) const;
+    void log_start(const model::HostRecord& h, const wire::Order& start, const char* sentBy, Moment now) const;
     void add_blind_halts(const model::HostRecord& h, const model::HostNotes& n, std::vector<wire::Order>& all) const;
     bool kept_here(const model::HostRecord* h) const;
     bool usable(const model::HostRecord& h, Moment now) const;
@@ -284,6 +292,7 @@
 
     std::set<std::string> cancelled_;  // confirmed, and not seen in the store yet
     std::unordered_map<std::string, model::HostNotes> notes_;
+    CheckinStatistics checkinStatistics_;
     std::map<std::string, wire::Report> claims_;
     struct Redirected {
         double atS = -1e9;
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -24,6 +24,7 @@
 // Of max_sockets; the rest is for the state service, the cloud and the other controllers.
 constexpr double kSocketsForFront = 0.92, kSocketsForCommands = 0.05;
 
+constexpr double kStatisticsEveryS = 60;
 constexpr double kHintFor = 0.3;  // hints go out twice a second
 
 std::uint64_t random_id() {
@@ -85,6 +86,15 @@
     spdlog::debug("{}: {}{} at {}", what, about, outcomes[static_cast<int>(r.outcome)], r.epoch);
 }
 
+// What a change of the own standing rests on.
+void log_standing(const model::Heard& h, const app::Settings& settings) {
+    spdlog::info(
+        "standing: registered {}, state service answered {:.3f} s ago, read {:.3f} s ago of {:.3f} s, others heard {}, "
+        "another has the state service {}",
+        h.registered, h.storeAgeS, h.contactAgeS, model::answers_for({settings.cancelS, settings.leaseS}), h.peerHeard,
+        h.peerHasStore);
+}
+
 front::Response unavailable(const char* why) {
     return {503, {{"error", why}}, 1, ""};
 }
@@ -188,6 +198,7 @@
 
 void Service::judge_standing() {
     MemberState next = model::judge(core_.member_state(), heard(), {settings_.cancelS, settings_.leaseS});
+    if (next != core_.member_state()) log_standing(heard(), settings_);
     if (next == MemberState::adrift && core_.member_state() != MemberState::adrift) adriftSince_ = net::steady_now();
     core_.set_member_state(next, now());
 }
@@ -450,11 +461,18 @@
         co_await net::sleep_for(io_, 0.25);
         judge_standing();
         follow_limits();
+        log_statistics();
         // Connections to machines that are gone, or kept elsewhere, would use up the sockets in the long run.
         channels_.prune([this](const std::string& host) { return core_.notes(host) != nullptr; });
     }
 }
 
+void Service::log_statistics() {
+    if (net::steady_now() - statisticsAt_ < kStatisticsEveryS) return;
+    statisticsAt_ = net::steady_now();
+    spdlog::info(core_.checkin_statistics().take_summary());
+}
+
 void Service::send_commands() {
     for (auto& [host, orders] : core_.commands_due(now())) {
         if (!channels_.make_ready(host)) continue;
@@ -666,6 +684,11 @@
         co_await barrier(kStoreTimeoutS);
 }
 
+bool Service::may_call_cloud() {
+    judge_standing();
+    return core_.may_call_cloud();
+}
+
 asio::awaitable<void> Service::cloud_work() {
     double typesAt = -1e9, listAt = -1e9;
     for (;;) {
@@ -677,7 +700,7 @@
             co_await apply_draft(std::move(d));
             if (core_.holds_cloud_role()) spdlog::info("took the cloud role");
         }
-        if (!core_.holds_cloud_role()) continue;
+        if (!may_call_cloud()) continue;
         double t = net::steady_now();
         if (core_.view().types().empty() || t - typesAt > 60) {
             auto types = co_await cloud_.types();
@@ -693,7 +716,7 @@
                 }
             }
         }
-        if (t - listAt > std::max(2.0, settings_.listLagS / 2)) {
+        if (may_call_cloud() && t - listAt > std::max(2.0, settings_.listLagS / 2)) {
             auto list = co_await cloud_.list();
             if (list) {
                 listAt = t;
@@ -703,7 +726,7 @@
         // First what goes: the return of a machine that hangs with a cancelled task has a deadline, renting has none.
         auto due = core_.returns_due(now());
         bool gone = false;
-        if (!due.empty()) gone = co_await cloud_.give_back(due);
+        if (!due.empty() && may_call_cloud()) gone = co_await cloud_.give_back(due);
         if (gone) {
             spdlog::info("returned {} machines, first {}", due.size(), due.front());
             Draft d = core_.new_draft();
@@ -714,12 +737,12 @@
         core_.plan_rentals(now());
         for (int calls = 0; calls < 12; ++calls) {
             auto orders = core_.rentals(now());
-            if (orders.empty() || !core_.holds_cloud_role()) break;
+            if (orders.empty() || !may_call_cloud()) break;
             const RentalOrder o = orders.front();
             // A request name is never used again, not even by another process: it carries the incarnation.
             std::string ask = "r-" + std::to_string(core_.incarnation()) + "-" + std::to_string(++asks_);
             cloud::RentResult r;
-            for (int tries = 0; tries < 2; ++tries) {
+            for (int tries = 0; tries < 2 && may_call_cloud(); ++tries) {
                 r = co_await cloud_.rent(ask, o.build, o.hall, o.loaner, o.number);
                 if (r.kind != cloud::RentResult::failed) break;
             }
--- a/src/controller/service.hpp
+++ b/src/controller/service.hpp
@@ -54,12 +54,15 @@
     asio::awaitable<void> rounds();
     asio::awaitable<void> user_rounds();
     void send_commands();
+    void log_statistics();
     asio::awaitable<void> command(std::string host, std::vector<wire::Order> orders, std::uint64_t baton,
                                   std::uint64_t tenure, std::string address);
     asio::awaitable<void> clockwork();
 
     // cloud
     asio::awaitable<void> cloud_work();
+    // As of this moment, by the clock: calls take seconds.
+    bool may_call_cloud();
     asio::awaitable<void> apply_draft(Draft draft);
     asio::awaitable<store::CommitResult> commit(const char* what, const Txn& txn);
     void follow_limits();
@@ -96,6 +99,7 @@
     std::map<std::string, std::uint64_t> questions_;  // the newest of each other controller
     peers::Hint hint_;
     double hintAt_ = -1e9;
+    double statisticsAt_ = 0;
     double readFailedSince_ = 0;  // the first of the reads that have failed in a row; 0: the last succeeded
 };
 
--- a/src/controller/task_states.cpp
+++ b/src/controller/task_states.cpp
@@ -53,14 +53,19 @@
     const bool countedAsEnded = n.state == HostState::expired && r.tenure == n.lease.session();
     const model::WorkerLease before = n.lease;
     if (!n.lease.renew(r.tenure, r.tick, now.steady)) {
+        checkinStatistics_.refused_as_older();
         spdlog::debug("report {}/{} of {} is refused as older: lease {}", r.tenure, r.tick, r.host,
                       before.describe(now.steady));
         return false;
     }
-    if (countedAsEnded)
+    const bool overtaken = !n.newer(r);
+    checkinStatistics_.answered(before.age(now.steady) / settings_.leaseS, overtaken);
+    if (countedAsEnded) {
+        checkinStatistics_.back_in_ended_session();
         spdlog::warn("host {} reports in a session whose lease was counted as ended: {}", r.host,
                      before.describe(now.steady));
-    if (!n.newer(r))
+    }
+    if (overtaken)
         spdlog::debug("report {}/{} of {} was overtaken by report {}/{}: its answer renews the lease, which was {}",
                       r.tenure, r.tick, r.host, n.tenure, n.tick, before.describe(now.steady));
     return true;
@@ -194,37 +199,39 @@
 
 // A task is done or gone only by proof. Silence proves nothing, one report only what its tokens bear out.
 Core::Proof Core::proof(const HostRecord& h, const StepRef& ref) {
+    const Proof none;
     Step s = ref.job->step(ref.index, view_->chunk_size());
     // The cloud's word. A record is removed only after that, so a task placed without comparing the range may name it.
-    if (h.gone() || h.removed()) return responsible(*ref.job) ? Proof::gone : Proof::none;
-    if (!kept_here(&h)) return Proof::none;
+    if (h.gone() || h.removed()) return responsible(*ref.job) ? Proof{Proof::gone, "the cloud has the machine"} : none;
+    if (!kept_here(&h)) return none;
     auto it = notes_.find(h.name);
-    if (it == notes_.end()) return Proof::none;
+    if (it == notes_.end()) return none;
     HostNotes& n = it->second;
-    if (n.state == HostState::expired) return Proof::gone;  // the lease ran out by our own count
-    if (n.state != HostState::fenced) return Proof::none;   // older commands may still reach the host
+    if (n.state == HostState::expired) return {Proof::gone, "the lease has ended"};
+    if (n.state != HostState::fenced) return none;  // older commands may still reach the host
     TaskKey key{ref.job->id, ref.index};
     auto st = n.starts.find(key);
     StartNote* sent = st != n.starts.end() && st->second.attempt == s.attempt ? &st->second : nullptr;
-    if (sent && sent->inFlight > 0) return Proof::none;
+    if (sent && sent->inFlight > 0) return none;
     // Commands name the session: what was sent in an earlier one is refused, however late it arrives.
-    if (sent && n.tenure > sent->tenure && !n.tasks.count(key)) return Proof::gone;
+    if (sent && n.tenure > sent->tenure && !n.tasks.count(key)) return {Proof::gone, "started in an earlier session"};
     if (sent && sent->unanswered >= h.baton) {
         // This start may still execute, minutes from now. A higher baton that the host confirms ends that.
         n.needFence = true;
-        return Proof::none;
+        return none;
     }
     auto seen = n.tasks.find(key);
     if (seen != n.tasks.end() && seen->second.attempt == s.attempt) {
-        if (seen->second.phase != wire::TaskPhase::ended) return Proof::none;
-        return seen->second.cause == wire::Cause::done ? Proof::done : Proof::gone;
+        if (seen->second.phase != wire::TaskPhase::ended) return none;
+        if (seen->second.cause == wire::Cause::done) return {Proof::done, "reported as done"};
+        return {Proof::gone, "reported as ended"};
     }
-    if (s.baton != h.baton) return Proof::gone;  // placed under an older keepership, and not there under this one
-    if (!sent) return stopping(*ref.job, s) || h.leaves() ? Proof::gone : Proof::none;  // never sent
-    if (sent->seen) return Proof::gone;
+    if (s.baton != h.baton) return {Proof::gone, "placed under an older token, and not there under this one"};
+    if (!sent) return stopping(*ref.job, s) || h.leaves() ? Proof{Proof::gone, "never sent"} : none;
+    if (sent->seen) return {Proof::gone, "no longer reported"};
     // Sent with a report's answer and absent from a newer report: it was dropped there and cannot come late.
-    if (stopping(*ref.job, s) && n.lease.number() > sent->tick) return Proof::gone;
-    return Proof::none;
+    if (stopping(*ref.job, s) && n.lease.number() > sent->tick) return {Proof::gone, "absent from a newer report"};
+    return none;
 }
 
 // All tasks placed there are there and may go on, and nothing else is there: nothing to do until something changes.
@@ -289,8 +296,12 @@
                     n->evict.try_emplace({ref.job->id, ref.index}, now.steady);
                 }
             }
-            Proof p = proof(*record, ref);
+            const Proof proven = proof(*record, ref);
+            Proof::Verdict p = proven.verdict;
             if (p == Proof::none) continue;
+            spdlog::debug("step {}/{} on {} is {}: {} (lease {})", ref.job->id, ref.index, name,
+                          p == Proof::done ? "done" : "gone", proven.reason,
+                          n ? n->lease.describe(now.steady) : "not counted here");
             if (p == Proof::done && ref.job->state != JobState::active) p = Proof::gone;
             if (ref.job->service()) p = Proof::gone;  // never done: it starts again elsewhere
             // A gang completes together: one task done shows it of those, too, whose machines were lost before they
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -405,6 +405,7 @@
         c.held = draft.build().body;
         return "";
     }
+    if (verb == "may-call-cloud") return core.may_call_cloud() ? "yes" : "no";
     if (verb == "holds-role") return sync(c), core.holds_cloud_role() ? "yes" : "no";
     if (verb == "team") {
         in >> arg;
