--- a/src/controller/checkin_statistics.hpp
+++ b/src/controller/checkin_statistics.hpp
@@ -19,6 +19,7 @@
     // this shows a lease that was counted too short.
     void back_in_ended_session() { ++backInEndedSession_; }
 
+    bool empty() const { return answered_ + refusedAsOlder_ + leasesEnded_ == 0; }
     // One line for the log; the counts begin anew.
     std::string take_summary();
 
--- a/src/controller/commands.cpp
+++ b/src/controller/commands.cpp
@@ -42,10 +42,10 @@
             halts.push_back({wire::Verb::halt, key.first, key.second, s.attempt, windDown});
         }
         if (!there && !stop && s.baton == h->baton && n->state == HostState::fenced && member_ == MemberState::live &&
-            n->baton == h->baton && !h->leaves()) {
+            n->token == h->baton && !h->leaves()) {
             auto st = n->starts.find(key);
             bool sent = st != n->starts.end() && st->second.attempt == s.attempt;
-            if (sent && (st->second.seen || st->second.tenure != n->tenure)) continue;
+            if (sent && (st->second.seen || st->second.session != n->session)) continue;
             // By command only once in a while: the report's answer repeats it without any risk of coming late.
             if (byCommand && sent && now.steady - st->second.commandedS < settings_.reportS / 2) continue;
             if (byCommand && sent && (st->second.inFlight || st->second.unanswered)) continue;
@@ -72,9 +72,9 @@
         for (const wire::Order& o : starts) {
             StartNote& note = n->starts[{o.job, o.index}];
             if (note.attempt != o.attempt) note = {};
-            if (!note.attempt) note.tenure = n->tenure;
+            if (!note.attempt) note.session = n->session;
             note.attempt = o.attempt;
-            note.tick = n->lease.number();
+            note.answeredReport = n->lease.number();
             log_start(*h, o, "the answer to a report", now);
         }
     return all;
@@ -124,7 +124,7 @@
     if (!spdlog::should_log(spdlog::level::debug)) return;
     const HostNotes& n = notes_.at(h.name);
     spdlog::debug("start {}/{} attempt {} on {} by {}: token {} confirmed in session {}, lease {}", start.job,
-                  start.index, start.attempt, h.name, sentBy, h.baton, n.tenure, n.lease.describe(now.steady));
+                  start.index, start.attempt, h.name, sentBy, h.baton, n.session, n.lease.describe(now.steady));
 }
 
 void Core::commands_sent(const std::string& host, const std::vector<wire::Order>& orders, Moment now) {
@@ -133,7 +133,7 @@
         if (o.verb == wire::Verb::start) {
             StartNote& note = n.starts[{o.job, o.index}];
             if (note.attempt != o.attempt) note = {};
-            if (!note.attempt) note.tenure = n.tenure, note.tick = n.lease.number();
+            if (!note.attempt) note.session = n.session, note.answeredReport = n.lease.number();
             note.attempt = o.attempt;
             note.commandedS = now.steady;
             if (const HostRecord* h = view_->host(host)) log_start(*h, o, "command", now);
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -44,14 +44,12 @@
         mark(h);
         planDue_ = true;
     };
-    view_->on_leaving = [this](HostRecord& h) {
-        mark(h);
-        dirty_ = planDue_ = true;
-    };
-    view_->on_removed = [this](HostRecord& h) {
+    const auto replan_for = [this](HostRecord& h) {
         mark(h);
         dirty_ = planDue_ = true;
     };
+    view_->on_leaving = replan_for;
+    view_->on_removed = replan_for;
     view_->on_stop = [this](Job& job) { mark_job(job); };
     viewReady_ = false;
 }
@@ -213,7 +211,8 @@
             n.state.become(HostState::expired);
             checkinStatistics_.lease_ended();
             spdlog::info("host {} has expired with {} steps: lease {}, newest report {}/{}, token {}", name,
-                         h ? h->placed.size() : 0, n.lease.describe(now.steady), n.tenure, n.tick, n.keepBaton);
+                         h ? h->placed.size() : 0, n.lease.describe(now.steady), n.session, n.reportNumber,
+                         n.keptUnderToken);
             changed = true;
             due_.insert(name);
         }
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -54,8 +54,8 @@
         redirect,  // 421: another controller keeps it
         refuse,    // 503
     } kind = refuse;
-    std::string foreman;      // redirect: whom it should report to
-    std::uint64_t baton = 0;  // renewed: the fencing token
+    std::string keeper;       // redirect: whom it should report to
+    std::uint64_t token = 0;  // renewed: the fencing token
     std::vector<wire::Order> orders;
 };
 
--- a/src/controller/planning.cpp
+++ b/src/controller/planning.cpp
@@ -30,7 +30,7 @@
         auto it = notes_.find(h.name);
         if (it == notes_.end()) return false;
         const HostNotes& n = it->second;
-        return n.state == HostState::fenced && n.baton == h.baton && !n.reclaimS && !n.needFence && !n.gaps &&
+        return n.state == HostState::fenced && n.token == h.baton && !n.reclaimS && !n.needFence && !n.gaps &&
                now.steady >= n.quarantineUntilS;
     }
     if (auto it = hints_.find(h.keeper); it != hints_.end() && now.steady - it->second.atS < settings_.reportS) {
--- a/src/controller/service.cpp
+++ b/src/controller/service.cpp
@@ -470,7 +470,7 @@
 void Service::log_statistics() {
     if (net::steady_now() - statisticsAt_ < kStatisticsEveryS) return;
     statisticsAt_ = net::steady_now();
-    spdlog::info(core_.checkin_statistics().take_summary());
+    if (!core_.checkin_statistics().empty()) spdlog::info(core_.checkin_statistics().take_summary());
 }
 
 void Service::send_commands() {
@@ -479,7 +479,7 @@
         auto* h = core_.view().host(host);
         auto* n = core_.notes(host);
         core_.commands_sent(host, orders, now());
-        spawn(command(host, std::move(orders), h->baton, n->tenure, n->address));
+        spawn(command(host, std::move(orders), h->baton, n->session, n->address));
     }
 }
 
@@ -657,9 +657,9 @@
         if (core_.dirty()) work_.notify();
         switch (answer.kind) {
             case CheckinAnswer::renewed:
-                co_return orders_reply(answer.baton, answer.orders);
+                co_return orders_reply(answer.token, answer.orders);
             case CheckinAnswer::redirect:
-                co_return steer(answer.foreman);
+                co_return steer(answer.keeper);
             case CheckinAnswer::refuse:
                 co_return unavailable("not entitled to act for the controllers now");
             case CheckinAnswer::claiming:
--- a/src/controller/task_states.cpp
+++ b/src/controller/task_states.cpp
@@ -30,51 +30,6 @@
 
 }  // namespace
 
-CheckinAnswer Core::check_in(const wire::Report& r, Moment now) {
-    Admission admission = admit(r, now);
-    CheckinAnswer answer;
-    if (admission.kind == Admission::redirect) {
-        answer.kind = CheckinAnswer::redirect;
-        answer.foreman = admission.foreman;
-    } else if (admission.kind == Admission::claim) {
-        answer.kind = CheckinAnswer::claiming;
-        note_claim(r);
-    } else if (admission.kind == Admission::kept && renew_lease(r, now)) {
-        take_report(r, model::ReportSource::checkin, now);
-        answer.kind = CheckinAnswer::renewed;
-        answer.baton = view_->host(r.host)->baton;
-        answer.orders = orders(r.host, false, now);
-    }
-    return answer;
-}
-
-bool Core::renew_lease(const wire::Report& r, Moment now) {
-    HostNotes& n = notes_[r.host];
-    const bool countedAsEnded = n.state == HostState::expired && r.tenure == n.lease.session();
-    const model::WorkerLease before = n.lease;
-    if (!n.lease.renew(r.tenure, r.tick, now.steady)) {
-        checkinStatistics_.refused_as_older();
-        spdlog::debug("report {}/{} of {} is refused as older: lease {}", r.tenure, r.tick, r.host,
-                      before.describe(now.steady));
-        return false;
-    }
-    const bool overtaken = !n.newer(r);
-    checkinStatistics_.answered(before.age(now.steady) / settings_.leaseS, overtaken);
-    if (countedAsEnded) {
-        checkinStatistics_.back_in_ended_session();
-        spdlog::warn("host {} reports in a session whose lease was counted as ended: {}", r.host,
-                     before.describe(now.steady));
-    }
-    if (overtaken)
-        spdlog::debug("report {}/{} of {} was overtaken by report {}/{}: its answer renews the lease, which was {}",
-                      r.tenure, r.tick, r.host, n.tenure, n.tick, before.describe(now.steady));
-    return true;
-}
-
-void Core::take_command_reply(const wire::Report& r, Moment now) {
-    take_report(r, model::ReportSource::command_reply, now);
-}
-
 void Core::take_report(const wire::Report& r, model::ReportSource source, Moment now) {
     now_ = now;
     HostRecord* h = view_->host(r.host);
@@ -214,7 +169,7 @@
     StartNote* sent = st != n.starts.end() && st->second.attempt == s.attempt ? &st->second : nullptr;
     if (sent && sent->inFlight > 0) return none;
     // Commands name the session: what was sent in an earlier one is refused, however late it arrives.
-    if (sent && n.tenure > sent->tenure && !n.tasks.count(key)) return {Proof::gone, "started in an earlier session"};
+    if (sent && n.session > sent->session && !n.tasks.count(key)) return {Proof::gone, "started in an earlier session"};
     if (sent && sent->unanswered >= h.baton) {
         // This start may still execute, minutes from now. A higher baton that the host confirms ends that.
         n.needFence = true;
@@ -230,7 +185,8 @@
     if (!sent) return stopping(*ref.job, s) || h.leaves() ? Proof{Proof::gone, "never sent"} : none;
     if (sent->seen) return {Proof::gone, "no longer reported"};
     // Sent with a report's answer and absent from a newer report: it was dropped there and cannot come late.
-    if (stopping(*ref.job, s) && n.lease.number() > sent->tick) return {Proof::gone, "absent from a newer report"};
+    if (stopping(*ref.job, s) && n.lease.number() > sent->answeredReport)
+        return {Proof::gone, "absent from a newer report"};
     return none;
 }
 
--- a/src/model/host.cpp
+++ b/src/model/host.cpp
@@ -7,16 +7,16 @@
 void HostNotes::take(const wire::Report& r, ReportSource source, double nowS) {
     // A host that has our answer stays here, and its next message is numbered next. One that has not goes round the
     // other controllers first. Reports that keep arriving must not hide that no answer takes effect.
-    if (source == ReportSource::checkin && tenure) {
-        const bool confirms = r.baton > baton && r.baton == keepBaton;
-        if (confirms || (r.tenure == tenure && r.tick == tick + 1))
+    if (source == ReportSource::checkin && session) {
+        const bool confirms = r.baton > token && r.baton == keptUnderToken;
+        if (confirms || (r.tenure == session && r.tick == reportNumber + 1))
             gaps = 0;
-        else if (r.tenure == tenure && ++gaps == 2)
+        else if (r.tenure == session && ++gaps == 2)
             deafSinceS = nowS;
     }
-    tenure = r.tenure;
-    tick = r.tick;
-    baton = r.baton;
+    session = r.tenure;
+    reportNumber = r.tick;
+    token = r.baton;
     if (!r.address.empty()) address = r.address;
     if (r.reclaimS)
         reclaimS = nowS + *r.reclaimS;
@@ -39,9 +39,10 @@
     std::erase_if(halts, [&](auto& e) { return !tasks.count(e.first); });
 }
 
-void HostNotes::begin_keepership(std::uint64_t nextBaton, double nowS) {
-    if (keepBaton == nextBaton) return;  // the picture of the store was read again: the commands under way are the same
-    keepBaton = nextBaton;
+void HostNotes::begin_keepership(std::uint64_t nextToken, double nowS) {
+    if (keptUnderToken == nextToken)
+        return;  // the picture of the store was read again: the commands under way are the same
+    keptUnderToken = nextToken;
     unconfirmedS = nowS;
     lease.begin(nowS);
     starts.clear();
--- a/src/model/host.hpp
+++ b/src/model/host.hpp
@@ -25,12 +25,12 @@
 
 struct StartNote {
     std::uint32_t attempt = 0;
-    std::uint64_t tenure = 0;      // the session in which it was first sent
-    std::uint64_t tick = 0;        // the last report that was answered when it was sent
-    double commandedS = -1e9;      // the last time it went out by /commands
-    bool seen = false;             // some report has listed it
-    int inFlight = 0;              // sent by /commands, reply outstanding
-    std::uint64_t unanswered = 0;  // baton of a /commands start that got no reply: it may execute minutes later
+    std::uint64_t session = 0;         // in which it was first sent
+    std::uint64_t answeredReport = 0;  // the last report that was answered when it was sent
+    double commandedS = -1e9;          // the last time it went out by /commands
+    bool seen = false;                 // some report has listed it
+    int inFlight = 0;                  // sent by /commands, reply outstanding
+    std::uint64_t unanswered = 0;  // fencing token of a /commands start that got no reply: it may execute minutes later
 };
 
 struct HaltNote {
@@ -44,9 +44,10 @@
 
 struct HostNotes {
     StateMachine<HostState, HostTraits> state{HostState::claiming};
-    std::uint64_t tenure = 0, tick = 0, baton = 0;
-    std::uint64_t keepBaton = 0;  // of the keepership that these notes are about
-    double unconfirmedS = -1e9;   // since when the host has not confirmed it
+    std::uint64_t session = 0, reportNumber = 0;  // of the newest report, whichever way it came
+    std::uint64_t token = 0;                      // the highest fencing token that the machine had seen by then
+    std::uint64_t keptUnderToken = 0;             // of the keepership that these notes are about
+    double unconfirmedS = -1e9;                   // since when the host has not confirmed it
     // Check-ins in a row that did not follow the last message from here: the host has been elsewhere meanwhile, as it
     // does when an answer fails to reach it.
     int gaps = 0;
@@ -64,11 +65,13 @@
     double quarantineUntilS = -1e9;
 
     // Newer than everything seen before? Older reports are ignored: their task lists are as old as they are.
-    bool newer(const wire::Report& r) const { return r.tenure > tenure || (r.tenure == tenure && r.tick > tick); }
+    bool newer(const wire::Report& r) const {
+        return r.tenure > session || (r.tenure == session && r.tick > reportNumber);
+    }
     // Takes over the contents of a report, from a check-in or from the reply of a command.
     void take(const wire::Report& r, ReportSource source, double nowS);
     // A new keepership: what was noted under the last one proves nothing any more.
-    void begin_keepership(std::uint64_t baton, double nowS);
+    void begin_keepership(std::uint64_t token, double nowS);
     // Its reports arrive, but our answers seem not to reach it: fit for no work until one has.
     bool deaf() const { return gaps >= 2; }
 };
--- a/src/model/view.hpp
+++ b/src/model/view.hpp
@@ -178,7 +178,6 @@
     std::uint64_t cloud_role_stamp() const { return cloudRoleStamp_; }
     const LayoutRecord& layout() const { return layout_; }
     std::uint64_t layout_stamp() const { return layoutStamp_; }
-    std::uint32_t range_width() const { return rangeWidth_; }
     // Chunks whose job is over, by key: to be removed.
     const std::map<std::string, std::uint64_t>& leftovers() const { return leftovers_; }
     bool member_live(const std::string& name) const { return members_.count(name) > 0; }
--- a/tests/mixed_world.hpp
+++ b/tests/mixed_world.hpp
@@ -654,7 +654,7 @@
     void command(Node& n, const std::string& host, const std::vector<wire::Order>& orders) {
         auto node = static_cast<std::size_t>(
             std::find_if(nodes_.begin(), nodes_.end(), [&](const Node& each) { return &each == &n; }) - nodes_.begin());
-        Command sent{node, n.incarnation, host, n.core->notes(host)->tenure, n.core->view().host(host)->baton, orders};
+        Command sent{node, n.incarnation, host, n.core->notes(host)->session, n.core->view().host(host)->baton, orders};
         n.core->commands_sent(host, orders, moment());
         const double sentS = now_;
         after(flight_time(), [this, sent, sentS] { arrive(sent, sentS); });
@@ -743,9 +743,9 @@
     };
     Reply answer(Node& n, const wire::Report& r) {
         CheckinAnswer a = n.core->check_in(r, moment());
-        if (a.kind == CheckinAnswer::redirect) return {421, a.foreman, 0, {}};
+        if (a.kind == CheckinAnswer::redirect) return {421, a.keeper, 0, {}};
         if (a.kind != CheckinAnswer::renewed) return {};
-        return {200, "", a.baton, a.orders};
+        return {200, "", a.token, a.orders};
     }
 
     void expire(Worker& w) {
@@ -998,7 +998,7 @@
             for (const Worker& w : workers_) {
                 const auto* notes = w.there ? n.core->notes(w.name) : nullptr;
                 if (!notes || notes->state != model::HostState::expired) continue;
-                if (notes->keepBaton != w.baton || notes->tenure != w.tenure || !w.renewed) continue;
+                if (notes->keptUnderToken != w.baton || notes->session != w.tenure || !w.renewed) continue;
                 EXPECT_GE(now_ - w.sentOk, kLeaseS)
                     << n.settings.member << " counts the lease of " << w.name << " as ended at " << now_
                     << ", the machine counts it from " << w.sentOk;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -342,10 +342,10 @@
     if (verb == "report") {
         auto r = report_of(in);
         auto a = core.check_in(r, now());
-        if (a.kind == CheckinAnswer::redirect) return "421 " + a.foreman;
+        if (a.kind == CheckinAnswer::redirect) return "421 " + a.keeper;
         if (a.kind == CheckinAnswer::refuse) return "503";
         if (a.kind == CheckinAnswer::claiming) return "claim";
-        return "200 " + std::to_string(a.baton) + ": " + show(a.orders);
+        return "200 " + std::to_string(a.token) + ": " + show(a.orders);
     }
     if (verb == "round") {  // rounds come at least this far apart
         time_ += 0.2;
