--- /dev/null
+++ b/tests/worker_lease_test.cpp
@@ -0,0 +1,149 @@
+// The lease of a worker, counted by itself and by its keeper, over every order in which a few messages can be sent, be
+// delivered or be lost: the keeper's count may never end before the worker's.
+#include "model/worker_lease.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include "model/host.hpp"
+
+using namespace wellstair;
+
+namespace {
+
+constexpr double kLeaseS = 20;
+
+// One moment of the model. Time passes by whole seconds; the two clocks agree, since the drift has a test of its own.
+struct State {
+    int now = 0;
+    // The worker.
+    int renewedFrom = 0;  // when the last answered report was sent
+    std::uint64_t number = 1;
+    std::optional<std::pair<std::uint64_t, int>> report;         // on its way: number, when it was sent
+    std::optional<std::tuple<std::uint64_t, int, bool>> answer;  // on its way: number, sending of the report, 200
+    std::uint64_t awaited = 0;                                   // the report that it waits for; 0: none
+    std::optional<std::uint64_t> copy;                           // of some report, held back
+    std::optional<std::uint64_t> commandReply;                   // on its way to the keeper
+    // The keeper.
+    model::HostNotes notes;
+
+    auto key() const {
+        return std::tuple(now, renewedFrom, number, report, answer, awaited, copy, commandReply, notes.reportNumber,
+                          notes.lease.number(), notes.lease.age(0));
+    }
+};
+
+wire::Report numbered(std::uint64_t number) {
+    wire::Report r;
+    r.host = "n-1", r.tenure = 1, r.tick = number, r.baton = 1;
+    return r;
+}
+
+// What Core::check_in does with a report of a machine that is kept here.
+bool answered(State& s, std::uint64_t number) {
+    wire::Report r = numbered(number);
+    if (!s.notes.lease.renew(r.tenure, r.tick, s.now)) return false;
+    if (s.notes.newer(r)) s.notes.take(r, model::ReportSource::checkin, s.now);
+    return true;
+}
+
+// All that can happen next.
+std::vector<State> successors(const State& s) {
+    std::vector<State> next;
+    auto add = [&](auto change) {
+        State n = s;
+        change(n);
+        next.push_back(std::move(n));
+    };
+    if (!s.awaited)
+        add([](State& n) {
+            n.report = {n.number, n.now};
+            n.awaited = n.number++;
+        });
+    if (s.awaited) add([](State& n) { n.awaited = 0; });  // the worker gives up; the report may still be on its way
+    if (s.report) {
+        if (!s.copy) add([](State& n) { n.copy = n.report->first; });
+        if (!s.answer)
+            add([](State& n) {
+                auto [number, sent] = *n.report;
+                n.report.reset();
+                n.answer = {number, sent, answered(n, number)};
+            });
+    }
+    if (s.answer)
+        add([](State& n) {
+            auto [number, sent, ok] = *n.answer;
+            n.answer.reset();
+            if (n.awaited != number) return;
+            n.awaited = 0;
+            if (ok) n.renewedFrom = sent;
+        });
+    if (s.copy)
+        add([](State& n) {
+            answered(n, *n.copy);  // nobody hears the answer
+            n.copy.reset();
+        });
+    if (!s.commandReply) add([](State& n) { n.commandReply = n.number++; });  // a command is executed
+    if (s.commandReply)
+        add([](State& n) {
+            wire::Report r = numbered(*n.commandReply);
+            if (n.notes.newer(r)) n.notes.take(r, model::ReportSource::command_reply, n.now);
+            n.commandReply.reset();
+        });
+    add([](State& n) { ++n.now; });
+    return next;
+}
+
+TEST(WorkerLease, NoOrderOfMessagesEndsTheCountBeforeTheWorkersLease) {
+    constexpr int kSteps = 10;
+    State start;
+    start.notes.lease.begin(0);
+    start.notes.session = 1;
+    std::vector<State> frontier = {start};
+    std::set<decltype(start.key())> known = {start.key()};
+    std::size_t overtaken = 0;
+    for (int step = 0; step < kSteps; ++step) {
+        std::vector<State> reached;
+        for (const State& s : frontier)
+            for (State& n : successors(s)) {
+                if (!known.insert(n.key()).second) continue;
+                // Whatever comes later: the count must reach at least as far as the lease that the worker has.
+                ASSERT_LE(n.notes.lease.age(n.now), n.now - n.renewedFrom)
+                    << "after " << step + 1 << " steps: the worker's lease runs from " << n.renewedFrom;
+                overtaken += n.answer && std::get<0>(*n.answer) < n.notes.reportNumber && std::get<2>(*n.answer);
+                reached.push_back(std::move(n));
+            }
+        frontier = std::move(reached);
+    }
+    EXPECT_GT(overtaken, 100u) << "hardly an order in which a reply overtook a report";
+}
+
+TEST(WorkerLease, TheCountOutlastsTheWorkersWhateverTheDriftOfTheClocks) {
+    constexpr double kLargestDrift = 0.0005;  // PROTOCOL
+    for (double leaseS : {5.0, 20.0, 29.0, 300.0}) {
+        model::WorkerLease lease;
+        ASSERT_TRUE(lease.renew(1, 1, 0));
+        // The worker's clock is slow by the whole drift: its lease ends so late by ours.
+        const double endsS = leaseS * (1 + kLargestDrift);
+        EXPECT_FALSE(lease.ended(endsS, leaseS)) << leaseS;
+        EXPECT_TRUE(lease.ended(leaseS * 1.01 + 0.2, leaseS)) << leaseS << ": the tasks wait for nothing";
+    }
+}
+
+TEST(WorkerLease, OlderReportsAndThoseOfEarlierSessionsRenewNothing) {
+    model::WorkerLease lease;
+    EXPECT_TRUE(lease.renew(2, 10, 100));
+    EXPECT_FALSE(lease.renew(2, 10, 110)) << "a copy of the last one";
+    EXPECT_FALSE(lease.renew(2, 9, 110));
+    EXPECT_FALSE(lease.renew(1, 50, 110)) << "of an earlier session";
+    EXPECT_DOUBLE_EQ(lease.age(110), 10);
+    EXPECT_TRUE(lease.renew(3, 1, 120));
+    EXPECT_DOUBLE_EQ(lease.age(125), 5);
+}
+
+}  // namespace
