--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -555,8 +555,10 @@
         kill_all("gone");
         changed_.notify();
     }
-    int reports_answered = 0;
-    double last_answered_s() const { return leaseFromS_; }
+    // The machine loses the network for this long: nothing reaches it and nothing leaves it. What is sent meanwhile is
+    // lost. Its tasks go on.
+    void cut(double s) { cutUntilS_ = now() + s; }
+    bool is_cut() const { return now() < cutUntilS_; }
 
   private:
     struct Task {
@@ -579,7 +581,17 @@
             lastS = now();
             const std::uint64_t tenure = tenure_;
             if (!client) client = std::make_unique<HttpClient>(io_, nodePorts_[node_]);
-            Answer answer = co_await client->send("POST", "/checkin", to_bytes(status()), 4);
+            Answer answer;
+            if (is_cut()) {
+                co_await sleep_for(io_, 4);
+                answer.status = -1;
+            } else {
+                answer = co_await client->send("POST", "/checkin", to_bytes(status()), 4);
+                if (is_cut()) {
+                    co_await sleep_for(io_, lastS + 4 - now());
+                    answer.status = -1;
+                }
+            }
             if (gone) co_return;
             if (answer.status == 200) {
                 accept(answer.body, tenure, lastS);
@@ -611,7 +623,6 @@
         if (token > baton_) changedSince_ = true;
         baton_ = token;
         leaseFromS_ = sentS;
-        ++reports_answered;
         if (body.contains("orders")) execute(body["orders"]);
     }
 
@@ -629,6 +640,10 @@
 
     asio::awaitable<std::optional<Reply>> serve(Request request) {
         if (gone) co_return std::nullopt;
+        if (is_cut()) {
+            while (is_cut()) co_await sleep_for(io_, 0.5);
+            co_return std::nullopt;
+        }
         co_return answer(request);
     }
     std::optional<Reply> answer(const Request& request) {
@@ -756,6 +771,7 @@
     std::map<std::string, double> images_;
     std::uint64_t tenure_ = 1, tick_ = 0, baton_ = 0;
     double leaseFromS_ = 0;
+    double cutUntilS_ = -1;
     int node_ = 0, leasesEnded_ = 0;
     bool changedSince_ = true;
 };
@@ -945,6 +961,14 @@
             asio::co_spawn(io_, probe(static_cast<int>(i)), asio::detached);
     }
     bool healthy(int node) const { return health_[node].healthy; }
+    // Whether the newest health check of the node succeeded, and one more check.
+    bool answers(int node) const { return health_[node].successes > 0; }
+    asio::awaitable<void> look(int node) {
+        HttpClient client(io_, controllers_.front[node]);
+        Answer answer = co_await client.send("GET", "/healthz", "", 1);
+        if (answer.status == 200) ++health_[node].successes;
+        co_await sleep_for(io_, 0.1);
+    }
     int healthy_nodes() const {
         int n = 0;
         for (const Health& h : health_) n += h.healthy;
