--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -268,6 +268,9 @@
 
     // The time that an answer takes: mostly `latencyS`, and a few hundred milliseconds for the share `slowShare`.
     double latencyS = 0, slowShare = 0, slowS = 0.3;
+    // What a controller meets for a while: "refuse" (503), "silent" (nothing is executed or answered), "lose" and "late"
+    // (of a share of its transactions the answer is lost; "late": and they are carried out 2 to 12 s later).
+    std::map<int, std::string> modes;
     std::map<int, int> answered, throttled;  // by status 429 or not, per controller
     // For a record of what happened to one kind of key.
     std::function<void(int caller, const Json& transaction, const Reply& reply)> onCommit;
@@ -319,7 +322,23 @@
     asio::awaitable<std::optional<Reply>> handle(Request request) {
         const double delayS = slowShare > 0 && uniform(0, 1) < slowShare ? slowS * uniform(0.7, 1.3)
                                                                          : latencyS * uniform(0.75, 1.25);
+        const std::string mode = modes[request.caller];
+        if (mode == "refuse") co_return reply(503, Json::object());
         co_await sleep_for(io_, delayS / 2);
+        if (mode == "silent" || ((mode == "late" || mode == "lose") && request.target != "/commit" )) {
+            if (mode == "silent") {
+                co_await sleep_for(io_, 20);
+                co_return std::nullopt;
+            }
+        } else if (mode == "late" && uniform(0, 1) < 0.3) {
+            co_await sleep_for(io_, uniform(2, 12));
+            execute(request);
+            co_return std::nullopt;
+        } else if (mode == "lose" && uniform(0, 1) < 0.3) {
+            execute(request);
+            co_await sleep_for(io_, 8);
+            co_return std::nullopt;
+        }
         Reply out;
         if (!take(tokens_, deployment_.stateRps, 1)) {
             ++throttled[request.caller];
