An attempt is acknowledged only when no start of it is in transit

A start goes into the response to a heartbeat as long as no status shows the task, and directly. Where the response is slow (2.9 s; the worker waits 4 s), the direct start is executed, the task ends, the end is recorded, and a direct command acknowledges the attempt, which the worker then forgets. The start in the response comes after that and runs it again.

Cause: whether a start may still be executed was recorded for direct requests only. The acknowledgement, which ends the protection by the attempt number, did not ask about responses.

Fix: the tracker keeps the starts in the response to the newest answered heartbeat. The next answered heartbeat replaces them, since a worker has one heartbeat in flight and waits for no earlier response. start_in_transit() is the one question for responses and direct requests. Ends are recorded as early as before; the acknowledgement waits for a heartbeat at most. The record belongs to the response, so a later attempt of the task does not replace it. Heartbeats are compared by agent epoch and sequence number (HeartbeatId) also where a task was never reported; before, by sequence number alone.

--- a/src/controller/commands.cpp
+++ b/src/controller/commands.cpp
@@ -14,7 +14,6 @@
 using state::Task;
 using state::TaskRef;
 using workers::HostTracker;
-using workers::SentStart;
 using workers::SentStop;
 using workers::TaskKey;
 
@@ -75,10 +74,7 @@
         if (placed != placedAttempts.end() && placed->second == observed.attempt) continue;
         // Not placed here, or no longer: the state service has recorded its result, or has never known the task.
         if (observed.phase == wire::TaskPhase::ended) {
-            auto start = tracker->starts.find(key);
-            bool mayExecuteLate = start != tracker->starts.end() && start->second.attempt == observed.attempt &&
-                                  (start->second.inFlight || start->second.unanswered >= record->fencingToken);
-            if (!mayExecuteLate)
+            if (!tracker->start_in_transit({key, observed.attempt}, record->fencingToken))
                 acknowledgements.push_back(
                     {wire::CommandType::acknowledge, key.first, key.second, observed.attempt, 0});
         } else {
@@ -90,11 +86,7 @@
     commands.insert(commands.end(), starts.begin(), starts.end());
     if (!direct)
         for (const wire::Command& command : starts) {
-            SentStart& sentStart = tracker->starts[{command.job, command.index}];
-            if (sentStart.attempt != command.attempt) sentStart = {};
-            if (!sentStart.attempt) sentStart.agentEpoch = tracker->agentEpoch;
-            sentStart.attempt = command.attempt;
-            sentStart.answeredSequence = tracker->lease.sequence();
+            tracker->record_start_in_response({{command.job, command.index}, command.attempt});
             log_start(*record, command, "heartbeat response", now);
         }
     return commands;
@@ -160,15 +152,9 @@
     HostTracker& tracker = hosts_.track(host);
     for (const wire::Command& command : commands) {
         if (command.type == wire::CommandType::start) {
-            SentStart& sentStart = tracker.starts[{command.job, command.index}];
-            if (sentStart.attempt != command.attempt) sentStart = {};
-            if (!sentStart.attempt)
-                sentStart.agentEpoch = tracker.agentEpoch, sentStart.answeredSequence = tracker.lease.sequence();
-            sentStart.attempt = command.attempt;
-            sentStart.commandedS = now.steady;
+            tracker.record_direct_start({{command.job, command.index}, command.attempt}, now.steady);
             if (const HostRecord* record = context_.state().host(host))
                 log_start(*record, command, "direct command", now);
-            ++sentStart.inFlight;
         } else if (command.type == wire::CommandType::stop) {
             tracker.stops[{command.job, command.index}] = {command.attempt, now.steady - kSentBeforeS};
         }
--- a/src/controller/heartbeats.cpp
+++ b/src/controller/heartbeats.cpp
@@ -30,9 +30,9 @@
 bool Core::renew_lease(const wire::Heartbeat& heartbeat, Timestamp now) {
     HostTracker& tracker = hosts_.track(heartbeat.host);
     const bool takenAsExpired =
-        tracker.state == HostState::expired && heartbeat.agentEpoch == tracker.lease.agent_epoch();
+        tracker.state == HostState::expired && heartbeat.agentEpoch == tracker.lease.last_answered().agentEpoch;
     const workers::WorkerLease leaseBefore = tracker.lease;
-    if (!tracker.lease.renew(heartbeat.agentEpoch, heartbeat.sequence, now.steady)) {
+    if (!tracker.renew_lease(heartbeat, now.steady)) {
         heartbeatStatistics_.record_stale_heartbeat();
         spdlog::debug("heartbeat {}/{} of host {} rejected as stale: lease {}", heartbeat.agentEpoch,
                       heartbeat.sequence, heartbeat.host, leaseBefore.describe(now.steady));
--- a/src/reconciliation/termination_proof.cpp
+++ b/src/reconciliation/termination_proof.cpp
@@ -72,7 +72,7 @@
     if (sent->seen) return gone("no longer reported");
     // The start was sent in the response to a heartbeat, and a newer heartbeat does not list the task: the worker has
     // dropped the start and cannot execute it late.
-    if (mustStop && tracker.lease.sequence() > sent->answeredSequence)
+    if (mustStop && sent->answered < tracker.lease.last_answered())
         return gone("not reported in a heartbeat newer than its start");
     return {};
 }
--- a/src/workers/host_tracker.cpp
+++ b/src/workers/host_tracker.cpp
@@ -4,6 +4,40 @@
 
 namespace wellstair::workers {
 
+bool HostTracker::renew_lease(const wire::Heartbeat& heartbeat, double nowS) {
+    if (!lease.renew({heartbeat.agentEpoch, heartbeat.sequence}, nowS)) return false;
+    startsInResponse.clear();  // the worker no longer waits for the response to an earlier heartbeat
+    return true;
+}
+
+SentStart& HostTracker::sent_start(const TaskAttempt& start) {
+    SentStart& sent = starts[start.task];
+    if (sent.attempt == start.attempt) return sent;
+    sent = {};
+    sent.attempt = start.attempt;
+    sent.agentEpoch = agentEpoch;
+    sent.answered = lease.last_answered();
+    return sent;
+}
+
+void HostTracker::record_start_in_response(const TaskAttempt& start) {
+    sent_start(start).answered = lease.last_answered();
+    startsInResponse.insert(start);
+}
+
+void HostTracker::record_direct_start(const TaskAttempt& start, double nowS) {
+    SentStart& sent = sent_start(start);
+    sent.commandedS = nowS;
+    ++sent.inFlight;
+}
+
+bool HostTracker::start_in_transit(const TaskAttempt& start, std::uint64_t fencingToken) const {
+    if (startsInResponse.count(start)) return true;
+    auto sent = starts.find(start.task);
+    if (sent == starts.end() || sent->second.attempt != start.attempt) return false;
+    return sent->second.inFlight > 0 || sent->second.unanswered >= fencingToken;
+}
+
 void HostTracker::update(const wire::Heartbeat& heartbeat, StatusSource source, double nowS) {
     if (source == StatusSource::heartbeat && agentEpoch) count_missed_answers(heartbeat, nowS);
     agentEpoch = heartbeat.agentEpoch;
--- a/src/workers/host_tracker.hpp
+++ b/src/workers/host_tracker.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "common/timestamp.hpp"
 #include "state/states.hpp"
@@ -22,6 +23,15 @@
 
 using TaskKey = std::pair<std::string, std::uint32_t>;  // job id, task index
 
+// One attempt to run a task.
+struct TaskAttempt {
+    TaskKey task;
+    std::uint32_t attempt = 0;
+    bool operator<(const TaskAttempt& other) const {
+        return std::tie(task, attempt) < std::tie(other.task, other.attempt);
+    }
+};
+
 // A task as listed in the newest status.
 struct ObservedTask {
     std::uint32_t attempt = 0;
@@ -33,12 +43,12 @@
 
 // A start command that was sent.
 struct SentStart {
-    std::uint32_t attempt = 0;           // 0: no start is recorded yet
-    std::uint64_t agentEpoch = 0;        // the worker's agent epoch when the start was first sent
-    std::uint64_t answeredSequence = 0;  // sequence number of the last answered heartbeat when the start was sent
-    double commandedS = kNeverS;         // when it was last sent directly, that is, not in a heartbeat response
-    bool seen = false;                   // a status has listed the task
-    int inFlight = 0;                    // direct requests that are still outstanding
+    std::uint32_t attempt = 0;     // 0: no start is recorded yet
+    std::uint64_t agentEpoch = 0;  // the worker's agent epoch when the start was first sent
+    HeartbeatId answered;          // the newest answered heartbeat when the start was sent
+    double commandedS = kNeverS;   // when it was last sent directly, that is, not in a heartbeat response
+    bool seen = false;             // a status has listed the task
+    int inFlight = 0;              // direct requests that are still outstanding
     std::uint64_t unanswered = 0;  // highest fencing token of a direct request without reply: may execute minutes later
 };
 
@@ -76,6 +86,9 @@
 
     // --- commands
     std::map<TaskKey, SentStart> starts;
+    // The starts in the response to the newest answered heartbeat. The worker may execute them until it sends its next
+    // heartbeat.
+    std::set<TaskAttempt> startsInResponse;
     std::map<TaskKey, SentStop> stops;
     // Tasks to be stopped because they are preempted or the host is being returned, and since when.
     std::map<TaskKey, double> evictions;
@@ -91,6 +104,16 @@
         return heartbeat.agentEpoch > agentEpoch ||
                (heartbeat.agentEpoch == agentEpoch && heartbeat.sequence > sequence);
     }
+    // Renews the lease with a heartbeat that is about to be answered with 200. If it returns false, the heartbeat must
+    // not be answered with 200.
+    bool renew_lease(const wire::Heartbeat& heartbeat, double nowS);
+    // Records a start that is sent in the response to the newest heartbeat.
+    void record_start_in_response(const TaskAttempt& start);
+    // Records a start that is sent directly, in a request of which the outcome is still to come.
+    void record_direct_start(const TaskAttempt& start, double nowS);
+    // Whether a start of this attempt that was sent under the fencing token may still be executed. The attempt must not
+    // be acknowledged before: the worker would forget it, and the start would then run it again.
+    bool start_in_transit(const TaskAttempt& start, std::uint64_t fencingToken) const;
     // Replaces the status by the contents of a newer heartbeat.
     void update(const wire::Heartbeat& heartbeat, StatusSource source, double nowS);
     // Starts a new leadership. The commands recorded under the previous one prove nothing any more and are discarded.
@@ -100,6 +123,8 @@
     bool unreachable() const { return missedAnswers >= kMissedAnswersUntilUnreachable; }
 
   private:
+    // The record of the attempt's start, which is a new one if none has been sent.
+    SentStart& sent_start(const TaskAttempt& start);
     void count_missed_answers(const wire::Heartbeat& heartbeat, double nowS);
     void update_tasks(const wire::Heartbeat& heartbeat, double nowS);
 };
--- a/src/workers/worker_lease.cpp
+++ b/src/workers/worker_lease.cpp
@@ -3,7 +3,6 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <utility>
 
 #include "config/clock_drift.hpp"
 
@@ -16,10 +15,9 @@
 
 }  // namespace
 
-bool WorkerLease::renew(std::uint64_t agentEpoch, std::uint64_t sequence, double nowS) {
-    if (std::pair(agentEpoch, sequence) <= std::pair(agentEpoch_, sequence_)) return false;
-    agentEpoch_ = agentEpoch;
-    sequence_ = sequence;
+bool WorkerLease::renew(const HeartbeatId& heartbeat, double nowS) {
+    if (!(lastAnswered_ < heartbeat)) return false;
+    lastAnswered_ = heartbeat;
     measuredFromS_ = nowS;
     return true;
 }
@@ -33,7 +31,8 @@
 }
 
 std::string WorkerLease::describe(double nowS) const {
-    return fmt::format("renewed {:.3f} s ago by heartbeat {}/{}", age(nowS), agentEpoch_, sequence_);
+    return fmt::format("renewed {:.3f} s ago by heartbeat {}/{}", age(nowS), lastAnswered_.agentEpoch,
+                       lastAnswered_.sequence);
 }
 
 }  // namespace wellstair::workers
--- a/src/workers/worker_lease.hpp
+++ b/src/workers/worker_lease.hpp
@@ -7,9 +7,18 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace wellstair::workers {
 
+// Identifies a heartbeat of one host. The larger of two is the newer one.
+struct HeartbeatId {
+    std::uint64_t agentEpoch = 0, sequence = 0;
+    bool operator<(const HeartbeatId& other) const {
+        return std::tie(agentEpoch, sequence) < std::tie(other.agentEpoch, other.sequence);
+    }
+};
+
 class WorkerLease {
   public:
     // Must be called for every heartbeat that is about to be answered with 200, and for nothing else. If it returns
@@ -19,7 +28,7 @@
     // longer waits for the response to an older one, and a lease measured from that earlier sending ends within the one
     // recorded here. Replies to commands do not count: a reply may overtake a heartbeat whose response the worker still
     // waits for.
-    bool renew(std::uint64_t agentEpoch, std::uint64_t sequence, double nowS);
+    bool renew(const HeartbeatId& heartbeat, double nowS);
 
     // Starts measuring at the beginning of a leadership, before any heartbeat has been answered.
     void begin(double nowS);
@@ -32,16 +41,16 @@
     // returns true before the lease has expired on the worker.
     bool expired(double nowS, double leaseS) const;
 
-    // Agent epoch and sequence number of the heartbeat that last renewed the lease.
-    std::uint64_t agent_epoch() const { return agentEpoch_; }
-    std::uint64_t sequence() const { return sequence_; }
+    // The heartbeat that last renewed the lease. A worker has one heartbeat in flight, so it has dropped the responses
+    // to all earlier ones, or has received them.
+    const HeartbeatId& last_answered() const { return lastAnswered_; }
     // Age, agent epoch and sequence number of the last renewal, for log lines.
     std::string describe(double nowS) const;
 
   private:
     static constexpr double kNotStartedS = -1e9;  // seconds on the steady clock, earlier than any event
 
-    std::uint64_t agentEpoch_ = 0, sequence_ = 0;
+    HeartbeatId lastAnswered_;
     double measuredFromS_ = kNotStartedS;
 };
 
--- /dev/null
+++ b/tests/command_delivery_test.cpp
@@ -0,0 +1,324 @@
+// Random walks over the orders in which the messages between one worker and its leader can be sent, delivered, delayed
+// or lost. Guards against a command that is still executed after its record was given up: a start that executes
+// although its task was released, or a release of a task that still runs. A failed walk prints its steps as a trace.
+#include <gtest/gtest.h>
+
+#include <iterator>
+#include <map>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "trace_runner.hpp"
+
+namespace wellstair::test {
+namespace {
+
+constexpr double kLeaseS = 20, kHeartbeatTimeoutS = 4, kCommandTimeoutS = 1.8;  // as the settings of the traces imply
+constexpr int kSteps = 500, kMaxJobs = 25;
+constexpr const char* kHost = "n-1";
+
+// A command in the form in which traces show it, such as "stop j-1/0#2 saving".
+struct Command {
+    std::string verb, job;
+    int attempt = 0;
+};
+
+std::vector<Command> parse_commands(const std::string& text) {
+    std::vector<Command> commands;
+    std::istringstream words(text);
+    for (std::string verb, task; words >> verb && verb != "none" && words >> task;) {
+        const auto slash = task.find('/'), hash = task.find('#');
+        commands.push_back({verb, task.substr(0, slash), std::stoi(task.substr(hash + 1))});
+        if (words.peek() == ' ' && task.back() != ',') words.ignore(std::string(" saving,").size());
+    }
+    return commands;
+}
+
+struct Response {
+    std::uint64_t sequence, token;
+    std::vector<Command> commands;
+};
+
+struct DirectRequest {
+    std::uint64_t epoch, token;
+    double sentS;
+    std::vector<Command> commands;
+    bool executed = false;
+    std::string reply;  // the status after the commands; empty: not executed
+};
+
+class Walk {
+  public:
+    explicit Walk(unsigned seed) : random_(seed) {
+        run("controllers a b");
+        run("join a");
+        run("join b");
+        run("sync a");
+    }
+
+    // Takes the steps of one walk and returns the first violation; nothing if there is none.
+    std::optional<std::string> take() {
+        for (int i = 0; i < kSteps && !violation_; ++i) {
+            pass_time();
+            step();
+        }
+        return violation_;
+    }
+
+    std::string trace() const {
+        std::string out;
+        for (const std::string& line : lines_) out += line + "\n";
+        return out;
+    }
+
+  private:
+    std::string run(const std::string& line) {
+        std::string result = runner_.run(line);
+        lines_.push_back(line);
+        if (!result.empty()) lines_.push_back("> " + result);
+        return result;
+    }
+    int below(int bound) { return std::uniform_int_distribution<int>(0, bound - 1)(random_); }
+
+    void pass_time() {
+        if (below(6)) return;
+        const double seconds = 0.25 * (1 + below(2));
+        nowS_ += seconds;
+        run("wait " + std::to_string(seconds));
+        if (nowS_ - leaseFromS_ > kLeaseS) end_session();
+    }
+
+    void end_session() {
+        ++epoch_;
+        tasks_.clear();
+        awaited_.reset();
+        leaseFromS_ = nowS_;
+    }
+
+    void step() {
+        switch (below(16)) {
+            case 0:
+            case 1:
+                return send_heartbeat();
+            case 2:
+                return deliver_heartbeat();
+            case 3:
+                return below(3) ? void() : deliver_response();  // responses are the slowest messages
+            case 4:
+            case 5:
+            case 6:
+                return send_direct();
+            case 7:
+            case 8:
+                return execute_direct();
+            case 9:
+            case 10:
+                return finish_direct();
+            case 11:
+                return execute_late();
+            case 12:
+                return below(2) ? submit() : cancel();
+            case 13:
+                return end_task();
+            default:
+                return round();
+        }
+    }
+
+    // --- the worker
+
+    std::string status() {
+        std::string line = std::string(kHost) + " " + std::to_string(epoch_) + " " + std::to_string(++sequence_) + " " +
+                           std::to_string(token_);
+        for (const auto& [key, phase] : tasks_)
+            line += " " + key.first + "/0#" + std::to_string(key.second) + "=" + phase;
+        return line;
+    }
+
+    void send_heartbeat() {
+        if (awaited_ && nowS_ - heartbeatSentS_ < kHeartbeatTimeoutS) return;
+        heartbeat_ = status();
+        awaited_ = sequence_;
+        heartbeatSentS_ = nowS_;
+    }
+
+    void execute(const std::vector<Command>& commands) {
+        for (const Command& command : commands) {
+            const std::pair key(command.job, command.attempt);
+            auto known = tasks_.find(key);
+            if (command.verb == "start" && known == tasks_.end()) start(key);
+            if (command.verb == "stop" && known != tasks_.end() && known->second == "running")
+                known->second = "stopped";
+            if (command.verb == "acknowledge" && known != tasks_.end() && known->second != "running")
+                tasks_.erase(known);
+        }
+    }
+
+    void start(const std::pair<std::string, int>& key) {
+        const auto placed = placed_.find(key.first);
+        if (placed == placed_.end() || placed->second != key.second)
+            violation_ = "started " + key.first + "#" + std::to_string(key.second) + ", which is not placed";
+        tasks_[key] = "running";
+    }
+
+    void end_task() {
+        for (auto& [key, phase] : tasks_)
+            if (phase == "running" && below(2)) phase = below(4) ? "done" : "stopped";
+    }
+
+    // --- messages
+
+    void deliver_heartbeat() {
+        if (!heartbeat_) return;
+        const std::uint64_t sequence = sequence_of(*heartbeat_);
+        const std::string result = run("heartbeat a " + *heartbeat_);
+        heartbeat_.reset();
+        if (result.starts_with("200 ")) {
+            const auto colon = result.find(':');
+            response_ = {sequence, std::stoull(result.substr(4, colon - 4)), parse_commands(result.substr(colon + 2))};
+        } else if (awaited_ == sequence) {
+            awaited_.reset();
+        }
+    }
+
+    static std::uint64_t sequence_of(const std::string& status) {
+        std::istringstream words(status);
+        std::string host;
+        std::uint64_t epoch = 0, sequence = 0;
+        words >> host >> epoch >> sequence;
+        return sequence;
+    }
+
+    void deliver_response() {
+        if (!response_) return;
+        const Response response = *response_;
+        response_.reset();
+        const bool waiting = awaited_ == response.sequence && nowS_ - heartbeatSentS_ < kHeartbeatTimeoutS;
+        if (!waiting || response.token < token_) return;
+        token_ = response.token;
+        leaseFromS_ = heartbeatSentS_;
+        awaited_.reset();
+        execute(response.commands);
+    }
+
+    void send_direct() {
+        if (direct_) return;
+        const std::string result = run("due a");
+        if (result == "nothing") return;
+        const auto colon = result.find(": ");
+        std::istringstream target(run("target a n-1"));
+        DirectRequest request{0, 0, nowS_, parse_commands(result.substr(colon + 2)), false, ""};
+        target >> request.token >> request.epoch;
+        direct_ = request;
+    }
+
+    bool accepts(const DirectRequest& request) const { return request.epoch == epoch_ && request.token >= token_; }
+
+    void execute_direct() {
+        if (!direct_ || direct_->executed) return;
+        direct_->executed = true;
+        if (accepts(*direct_)) {
+            token_ = direct_->token;
+            execute(direct_->commands);
+        }
+        direct_->reply = status();
+    }
+
+    void finish_direct() {
+        if (!direct_) return;
+        if (nowS_ - direct_->sentS > kCommandTimeoutS) {
+            run("unanswered a n-1 " + std::to_string(direct_->token));
+            if (!direct_->executed) late_.push_back(*direct_);
+        } else if (direct_->executed) {
+            run("answered a " + direct_->reply);
+        } else {
+            return;
+        }
+        direct_.reset();
+    }
+
+    void execute_late() {
+        if (late_.empty()) return;
+        const DirectRequest request = late_.front();
+        late_.erase(late_.begin());
+        if (!accepts(request)) return;
+        token_ = request.token;
+        execute(request.commands);
+    }
+
+    // --- users and the leader
+
+    void submit() {
+        if (jobs_ < kMaxJobs) run("submit a j-" + std::to_string(++jobs_));
+    }
+
+    void cancel() {
+        if (placed_.empty()) return;
+        auto job = placed_.begin();
+        std::advance(job, below(static_cast<int>(placed_.size())));
+        run("cancel a " + job->first);
+    }
+
+    void round() {
+        const std::string result = run("round a");
+        if (!result.ends_with("applied")) return;
+        std::istringstream changes(result);
+        for (std::string change; std::getline(changes, change, ';');) {
+            std::istringstream words(change);
+            std::string verb, task;
+            words >> verb >> task;
+            const std::string job = task.substr(0, task.find('/'));
+            if (verb == "place") placed_[job] = ++attempts_[job];
+            if (verb == "release") check_release(job);
+        }
+    }
+
+    void check_release(const std::string& job) {
+        auto task = tasks_.find({job, placed_.at(job)});
+        if (task != tasks_.end() && task->second == "running") violation_ = "released " + job + ", which runs";
+        placed_.erase(job);
+    }
+
+    TraceRunner runner_;
+    std::vector<std::string> lines_;
+    std::mt19937 random_;
+    std::optional<std::string> violation_;
+    double nowS_ = 0;
+
+    // The worker.
+    std::uint64_t epoch_ = 1, sequence_ = 0, token_ = 0;
+    double leaseFromS_ = 0, heartbeatSentS_ = 0;
+    std::optional<std::uint64_t> awaited_;  // sequence number of the heartbeat without a response yet
+    std::map<std::pair<std::string, int>, std::string> tasks_;  // phases, by job and attempt
+
+    // In flight.
+    std::optional<std::string> heartbeat_;
+    std::optional<Response> response_;
+    std::optional<DirectRequest> direct_;
+    std::vector<DirectRequest> late_;  // without a reply in time, still to be executed
+
+    // What the state service holds.
+    int jobs_ = 0;
+    std::map<std::string, int> attempts_;  // by job
+    std::map<std::string, int> placed_;    // the attempt of each placed job's task
+};
+
+class CommandDelivery : public testing::TestWithParam<unsigned> {};
+
+TEST_P(CommandDelivery, NoCommandOutlivesItsRecord) {
+    constexpr unsigned kWalks = 150;
+    for (unsigned i = 0; i < kWalks; ++i) {
+        Walk walk(GetParam() * kWalks + i);
+        const auto violation = walk.take();
+        ASSERT_FALSE(violation) << *violation << ", walk " << i << " of seed " << GetParam() << ":\n" << walk.trace();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CommandDelivery, testing::Range(1u, 7u));
+
+}  // namespace
+}  // namespace wellstair::test
--- a/tests/trace_controller_commands.cpp
+++ b/tests/trace_controller_commands.cpp
@@ -192,10 +192,18 @@
     return describe(commands);
 }
 
+std::string TraceRunner::command_target(Controller& controller, std::istringstream& arguments) {
+    const std::string host = next_word(arguments);
+    return std::to_string(controller.core->state().host(host)->fencingToken) + " " +
+           std::to_string(controller.core->tracker(host)->agentEpoch);
+}
+
 std::string TraceRunner::drop_reply(Controller& controller, std::istringstream& arguments) {
     controller::Core& core = *controller.core;
     const std::string host = next_word(arguments);
-    core.on_commands_answered(host, controller.lastSentCommands[host], false, core.state().host(host)->fencingToken);
+    std::uint64_t fencingToken = 0;
+    if (!(arguments >> fencingToken)) fencingToken = core.state().host(host)->fencingToken;
+    core.on_commands_answered(host, controller.lastSentCommands[host], false, fencingToken);
     return "";
 }
 
--- a/tests/trace_runner.hpp
+++ b/tests/trace_runner.hpp
@@ -78,6 +78,7 @@
     std::string handle_heartbeat(Controller& controller, std::istringstream& arguments);
     std::string send_due_commands(Controller& controller, std::istringstream& arguments);
     std::string send_commands(Controller& controller, std::istringstream& arguments);
+    std::string command_target(Controller& controller, std::istringstream& arguments);
     std::string drop_reply(Controller& controller, std::istringstream& arguments);
     std::string handle_reply(Controller& controller, std::istringstream& arguments);
 
--- a/tests/worker_lease_test.cpp
+++ b/tests/worker_lease_test.cpp
@@ -35,7 +35,7 @@
 
     auto key() const {
         return std::tuple(now, renewedFrom, nextSequence, heartbeat, response, awaited, copy, commandReply,
-                          tracker.sequence, tracker.lease.sequence(), tracker.lease.age(0));
+                          tracker.sequence, tracker.lease.last_answered(), tracker.lease.age(0));
     }
 };
 
@@ -51,7 +51,7 @@
 // Handles a heartbeat as the leader does. Returns whether it is answered with 200.
 bool handle_heartbeat(State& state, std::uint64_t sequence) {
     wire::Heartbeat heartbeat = make_heartbeat(sequence);
-    if (!state.tracker.lease.renew(heartbeat.agentEpoch, heartbeat.sequence, state.now)) return false;
+    if (!state.tracker.renew_lease(heartbeat, state.now)) return false;
     if (state.tracker.is_newer(heartbeat)) state.tracker.update(heartbeat, workers::StatusSource::heartbeat, state.now);
     return true;
 }
@@ -162,7 +162,7 @@
     constexpr double kLargestDrift = 0.0005;  // PROTOCOL
     for (double leaseS : {5.0, 20.0, 29.0, 300.0}) {
         workers::WorkerLease lease;
-        ASSERT_TRUE(lease.renew(1, 1, 0));
+        ASSERT_TRUE(lease.renew({1, 1}, 0));
         // The worker's clock is slow by the largest drift, so by the leader's clock its lease ends later.
         const double workerExpiryS = leaseS * (1 + kLargestDrift);
         EXPECT_FALSE(lease.expired(workerExpiryS, leaseS)) << leaseS;
@@ -172,12 +172,12 @@
 
 TEST(WorkerLease, OlderHeartbeatsAndEarlierAgentEpochsDoNotRenew) {
     workers::WorkerLease lease;
-    EXPECT_TRUE(lease.renew(2, 10, 100));
-    EXPECT_FALSE(lease.renew(2, 10, 110)) << "copy of the last heartbeat";
-    EXPECT_FALSE(lease.renew(2, 9, 110));
-    EXPECT_FALSE(lease.renew(1, 50, 110)) << "heartbeat of an earlier agent epoch";
+    EXPECT_TRUE(lease.renew({2, 10}, 100));
+    EXPECT_FALSE(lease.renew({2, 10}, 110)) << "copy of the last heartbeat";
+    EXPECT_FALSE(lease.renew({2, 9}, 110));
+    EXPECT_FALSE(lease.renew({1, 50}, 110)) << "heartbeat of an earlier agent epoch";
     EXPECT_DOUBLE_EQ(lease.age(110), 10);
-    EXPECT_TRUE(lease.renew(3, 1, 120));
+    EXPECT_TRUE(lease.renew({3, 1}, 120));
     EXPECT_DOUBLE_EQ(lease.age(125), 5);
 }
 
