A direct command with a reply that cannot be read may have been executed

CommandChannels took each reply of any status for a proof that the outcome is known. With a 200 whose body is no status, a 200 of another machine that has the address now, or an undocumented status, nothing shows what the worker did. A cancelled task, or one of a gang that is incomplete, was then released as never reported while it ran.

Found by reading; not seen in a run of the program.

Now such a reply counts as none: the start may be executed, and the host gets a new fencing token before the task is released.

GoldenRequests.Commands replied with a body that no worker sends and expected it to count as an answer. The stand-in now replies with a status, as PROTOCOL says; its expectations are the same.

--- a/src/service/command_sender.cpp
+++ b/src/service/command_sender.cpp
@@ -32,8 +32,7 @@
     const double timeoutS = context_.settings.heartbeatIntervalS * kTimeoutPerHeartbeatInterval;
     auto result = co_await channels_.send(delivery.host, delivery.address, delivery.fencingToken, delivery.agentEpoch,
                                           delivery.commands, timeoutS);
-    if (result.heartbeat && result.heartbeat->host == delivery.host)
-        core.handle_command_reply(*result.heartbeat, now());
+    if (result.heartbeat) core.handle_command_reply(*result.heartbeat, now());
     core.on_commands_answered(delivery.host, delivery.commands, result.answered, delivery.fencingToken);
     if (!result.answered)
         spdlog::info("host {} did not respond to {} commands sent to it", delivery.host, delivery.commands.size());
--- a/src/workers/command_channel.cpp
+++ b/src/workers/command_channel.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr int kOk = 200, kConflict = 409;  // the response body of both is a heartbeat
+// Statuses of the protocol. The response body of the first two is a heartbeat; the last two execute nothing.
+constexpr int kOk = 200, kConflict = 409, kMalformed = 400;
 constexpr unsigned kMaxPort = 65535;
 
 // Parses "ip:port" with an IPv4 address. Returns nothing if the text is malformed.
@@ -22,6 +23,26 @@
     return config::Endpoint{address.substr(0, colon), static_cast<std::uint16_t>(port)};
 }
 
+// The status in the reply, unless it cannot be read or is another host's, which then has the address.
+std::optional<wire::Heartbeat> read_status(const net::Reply& reply, const std::string& host) {
+    if (reply.status != kOk && reply.status != kConflict) return std::nullopt;
+    auto decoded = wire::decode(reply.body);
+    auto heartbeat = decoded ? wire::parse_heartbeat(*decoded) : std::nullopt;
+    if (heartbeat && heartbeat->host != host) return std::nullopt;
+    return heartbeat;
+}
+
+CommandResult read_reply(const net::Reply& reply, const std::string& host) {
+    CommandResult result;
+    result.answered = reply.outcome != net::Reply::Outcome::lost;
+    if (!reply.answered()) return result;
+    result.heartbeat = read_status(reply, host);
+    // The commands may have been executed, but nothing shows their effect.
+    const bool refused = reply.status == kConflict || reply.status == kMalformed;
+    result.answered = result.heartbeat || refused;
+    return result;
+}
+
 }  // namespace
 
 // The number of channels is bounded because a persistent connection to each of a thousand hosts, in addition to the
@@ -66,10 +87,7 @@
     net::Reply reply = co_await http->request(net::verb::post, "/commands", wire::encode(body), timeoutS);
     if (auto it = channels_.find(host); it != channels_.end()) it->second.busy = false;
     if (!reply.answered()) http->drop_idle();
-    result.answered = reply.outcome != net::Reply::Outcome::lost;
-    if (!reply.answered() || (reply.status != kOk && reply.status != kConflict)) co_return result;
-    if (auto decoded = wire::decode(reply.body)) result.heartbeat = wire::parse_heartbeat(*decoded);
-    co_return result;
+    co_return read_reply(reply, host);
 }
 
 }  // namespace wellstair::workers
--- a/src/workers/command_channel.hpp
+++ b/src/workers/command_channel.hpp
@@ -20,7 +20,8 @@
 
 // The outcome of a command request.
 struct CommandResult {
-    bool answered = true;  // false: the commands may still be executed later; also true if the request was never sent
+    // False: the commands may have been executed, or may be later. Also true if the request was never sent.
+    bool answered = true;
     std::optional<wire::Heartbeat> heartbeat;  // the status that the worker reports in its response
 };
 
--- a/tests/golden_requests_test.cpp
+++ b/tests/golden_requests_test.cpp
@@ -22,6 +22,7 @@
     std::optional<StandInReply> reply_to(const ReceivedRequest& request) {
         if (request.target == "/keys?prefix=ws/&page=1000") return StandInReply{200, firstPage_};
         if (request.target == "/machines?page=500") return StandInReply{200, firstMachines_};
+        if (request.target == "/commands") return StandInReply{200, workerStatus_};
         return StandInReply{200, reply_};
     }
 
@@ -55,6 +56,7 @@
                                                    {"phase", "up"},
                                                    {"address", "127.0.0.1:1"},
                                                    {"heldS", 1.0}}})}};
+    Json workerStatus_ = {{"host", "a-001"}, {"tenure", 34}, {"tick", 1}, {"baton", 12}, {"steps", Json::array()}};
     boost::asio::io_context io_;
     LoopbackServer server_{io_, [this](const ReceivedRequest& request) { return reply_to(request); }};
 };
