What an exception ends gives back what it had counted, and text that is not UTF-8 is refused

Cause: the size of the job description is measured as JSON, which throws for such text. The exception left the coroutine of the connection, which was started so that exceptions are dropped, and the count of connections was given back by a call at its end.

Fix: text that is not UTF-8 is no text (wire::get_string), so that it gets 400 with the field's name; sizes and errors are written by wire::to_text, which does not throw. A connection's place is held by an object whose destructor gives it back (ConnectionSlot; SlotCounter for those of controllers and for direct commands). An exception of a handler is logged and answered with 500. Nothing is started any more so that its exception is dropped: what leaves a loop ends the process, as it did for the loops of the service (spawn() moves to net).

No field of a heartbeat threw. Bounded besides, since they could be stored or taken for something else: names of more than 100 bytes, zones that cannot be part of a key, attempts of more than 32 bits (cut, and taken for another attempt), tokens above 2^63 (no higher one for the next leader). The cloud's machine types and the state service's error text could end a process in the same way; mended by the same change, the second without a test of its own.

--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -1,8 +1,8 @@
 #include "api/server.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <utility>
 
+#include "net/spawn.hpp"
 #include "net/time.hpp"
 
 namespace wellstair::api {
@@ -69,18 +70,21 @@
 }  // namespace
 
 struct Server::Connection {
-    explicit Connection(tcp::socket socket) : stream(std::move(socket)) {}
+    Connection(tcp::socket socket, std::shared_ptr<ConnectionRegistry> registry)
+        : stream(std::move(socket)), slot(std::move(registry), [this] { stream.close(); }) {}
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer{2 * wire::kMaxBodyBytes};
-    Caller caller = Caller::user;
-    bool counted = true;                                    // in the quota; false: closed to admit another connection
-    std::optional<std::list<Connection*>::iterator> place;  // in waiting_, while idle
+    ConnectionSlot slot;
 };
 
 Server::Server(asio::io_context& io, const config::Endpoint& endpoint, std::size_t maxConnections, double workerIdleS,
                Handlers handlers)
-    : io_(io), acceptor_(io), workerIdleS_(workerIdleS), handlers_(std::move(handlers)), quota_(maxConnections) {
+    : io_(io),
+      acceptor_(io),
+      workerIdleS_(workerIdleS),
+      handlers_(std::move(handlers)),
+      connections_(std::make_shared<ConnectionRegistry>(maxConnections)) {
     tcp::endpoint local(asio::ip::make_address_v4(endpoint.host), endpoint.port);
     acceptor_.open(local.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
@@ -89,59 +93,36 @@
 }
 
 void Server::start() {
-    asio::co_spawn(io_, accept(), asio::detached);
-}
-
-void Server::begin_wait(Connection& connection) {
-    auto& list = waiting_[connection.caller];
-    connection.place = list.insert(list.end(), &connection);
-}
-
-void Server::end_wait(Connection& connection) {
-    if (connection.place) waiting_[connection.caller].erase(*connection.place);
-    connection.place.reset();
-}
-
-void Server::release(Connection& connection) {
-    end_wait(connection);
-    if (std::exchange(connection.counted, false)) quota_.release(connection.caller);
+    net::spawn(io_, accept());
 }
 
+// An exception costs one connection, not the loop.
 asio::awaitable<void> Server::accept() {
     for (;;) {
-        auto [error, socket] = co_await acceptor_.async_accept(kAwait);
-        if (error) {
-            co_await net::sleep_for(io_, kAcceptRetryS);
-            continue;
+        bool accepted = false;
+        try {
+            auto [error, socket] = co_await acceptor_.async_accept(kAwait);
+            accepted = !error;
+            // Without room the new connection is closed, and its client tries another controller.
+            if (accepted && connections_->make_room()) net::spawn(io_, serve(std::move(socket)));
+        } catch (const std::exception& e) {
+            spdlog::error("cannot accept a connection: {}", e.what());
         }
-        if (evict_if_full()) asio::co_spawn(io_, serve(std::move(socket)), asio::detached);
+        if (!accepted) co_await net::sleep_for(io_, kAcceptRetryS);
     }
 }
 
-// At the limit, closes the connection that has been idle longest among the callers that exceed their share. With one
-// controller left for all machines, workers must not lock users out, nor users workers, and sockets for the state
-// service and for commands must stay available. Returns whether another connection may be accepted.
-bool Server::evict_if_full() {
-    if (!quota_.full()) return true;
-    auto& idle = waiting_[quota_.over_quota()];
-    if (idle.empty()) return false;  // the new connection is closed, and its client tries another controller
-    Connection& oldest = *idle.front();
-    release(oldest);
-    oldest.stream.close();
-    return true;
-}
-
 asio::awaitable<void> Server::serve(tcp::socket socket) {
-    Connection connection(std::move(socket));
-    quota_.acquire(connection.caller);
-    beast::error_code ignored;
-    connection.stream.socket().set_option(tcp::no_delay(true), ignored);
-    while (connection.counted) {
-        const bool keepAlive = co_await serve_request(connection);
-        if (!keepAlive) break;
+    try {
+        Connection connection(std::move(socket), connections_);
+        beast::error_code ignored;
+        connection.stream.socket().set_option(tcp::no_delay(true), ignored);
+        bool keepAlive = true;
+        while (keepAlive) keepAlive = co_await serve_request(connection);
+        connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    } catch (const std::exception& e) {
+        spdlog::error("a connection is closed after an unexpected exception: {}", e.what());
     }
-    release(connection);
-    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 // Reads and answers one request. Returns whether the connection can be used for another.
@@ -149,10 +130,10 @@
     http::request_parser<http::string_body> parser;
     parser.body_limit(wire::kMaxBodyBytes);
     connection.stream.expires_after(idle_limit(connection));
-    begin_wait(connection);
+    connection.slot.begin_idle();
     auto [readError, bytesRead] = co_await http::async_read(connection.stream, connection.buffer, parser, kAwait);
-    end_wait(connection);
-    if (!connection.counted) co_return false;
+    connection.slot.end_idle();
+    if (connection.slot.evicted()) co_return false;
     std::optional<Response> response;
     bool keepAlive = false;
     unsigned version = kHttpVersion;
@@ -163,10 +144,10 @@
         auto& request = parser.get();
         keepAlive = request.keep_alive();
         version = request.version();
-        set_caller(connection, request.target());
+        connection.slot.set_caller(request.target() == kHeartbeatPath ? Caller::worker : Caller::user);
         std::string method(request.method_string());
         std::string target(request.target());
-        response = co_await route(std::move(method), std::move(target), std::move(request.body()));
+        response = co_await handle(std::move(method), std::move(target), std::move(request.body()));
     }
     auto out = to_http(*response, version, keepAlive);
     connection.stream.expires_after(kWriteTimeout);
@@ -175,15 +156,18 @@
 }
 
 std::chrono::milliseconds Server::idle_limit(const Connection& connection) const {
-    if (connection.caller == Caller::user) return kUserIdleLimit;
+    if (connection.slot.caller() == Caller::user) return kUserIdleLimit;
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(workerIdleS_));
 }
 
-// Counts the connection under the kind of caller that sent its latest request.
-void Server::set_caller(Connection& connection, std::string_view target) {
-    const Caller caller = target == kHeartbeatPath ? Caller::worker : Caller::user;
-    quota_.release(std::exchange(connection.caller, caller));
-    quota_.acquire(caller);
+// Answers a request, with 500 if its handler throws.
+asio::awaitable<Response> Server::handle(std::string method, std::string target, std::string body) {
+    try {
+        co_return co_await route(std::move(method), std::move(target), std::move(body));
+    } catch (const std::exception& e) {
+        spdlog::error("a request is answered with 500 after an unexpected exception: {}", e.what());
+    }
+    co_return error_response(500, "internal error");
 }
 
 asio::awaitable<Response> Server::route(std::string method, std::string target, std::string body) {
--- a/src/api/server.hpp
+++ b/src/api/server.hpp
@@ -2,8 +2,8 @@
 // handlers interpret their bodies.
 // Owns the listening socket, the connections and their quota. Runs on one io_context thread; each connection is a
 // coroutine.
-// Errors: the constructor throws if the address cannot be bound. A malformed request is answered with 4xx, a broken
-// connection is closed.
+// Errors: the constructor throws if the address cannot be bound. A malformed request is answered with 4xx, one whose
+// handler throws with 500; a broken connection is closed.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -12,13 +12,11 @@
 #include <boost/beast/core/error.hpp>
 #include <chrono>
 #include <functional>
-#include <list>
-#include <map>
-#include <optional>
+#include <memory>
 #include <string>
 #include <string_view>
 
-#include "api/connection_quota.hpp"
+#include "api/connection_registry.hpp"
 #include "config/settings.hpp"
 #include "wire/codec.hpp"
 
@@ -58,23 +56,18 @@
   private:
     struct Connection;
     asio::awaitable<void> accept();
-    bool evict_if_full();
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
     asio::awaitable<bool> serve_request(Connection& connection);
+    asio::awaitable<Response> handle(std::string method, std::string target, std::string body);
     asio::awaitable<Response> route(std::string method, std::string target, std::string body);
     asio::awaitable<Response> route_job(std::string method, std::string path);
     std::chrono::milliseconds idle_limit(const Connection& connection) const;
-    void set_caller(Connection& connection, std::string_view target);
-    void begin_wait(Connection& connection);
-    void end_wait(Connection& connection);
-    void release(Connection& connection);
 
     asio::io_context& io_;
     asio::ip::tcp::acceptor acceptor_;
     double workerIdleS_;
     Handlers handlers_;
-    ConnectionQuota quota_;
-    std::map<Caller, std::list<Connection*>> waiting_;  // idle: waiting for a request, longest first
+    std::shared_ptr<ConnectionRegistry> connections_;  // shared with the connections, which may end later
 };
 
 }  // namespace wellstair::api
--- a/src/service/loop_context.cpp
+++ b/src/net/spawn.cpp
@@ -1,4 +1,4 @@
-#include "service/loop_context.hpp"
+#include "net/spawn.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -6,7 +6,7 @@
 #include <cstdlib>
 #include <exception>
 
-namespace wellstair::service {
+namespace wellstair::net {
 
 namespace {
 constexpr int kExitOnUnexpectedException = 3;
@@ -24,4 +24,4 @@
     });
 }
 
-}  // namespace wellstair::service
+}  // namespace wellstair::net
--- a/src/service/cloud_loop.cpp
+++ b/src/service/cloud_loop.cpp
@@ -70,7 +70,7 @@
 asio::awaitable<void> CloudLoop::write_types(std::vector<wire::MachineType> types) {
     controller::Core& core = context_.core;
     Json list = type_list(types);
-    if (const std::size_t size = list.dump().size(); size > core.state_limits().value_bytes()) {
+    if (const std::size_t size = wire::to_text(list).size(); size > core.state_limits().value_bytes()) {
         spdlog::error("{} not written: its {} bytes exceed the limit of {} bytes for a value", keys::kMachineTypes,
                       size, core.state_limits().value_bytes());
         co_return;
--- a/src/service/committer.cpp
+++ b/src/service/committer.cpp
@@ -23,7 +23,7 @@
         const bool sets = operation.contains("set");
         out.keys.push_back(operation[sets ? "set" : "remove"].get<std::string>());
         out.sizes += (out.sizes.empty() ? "" : ", ") + out.keys.back();
-        if (sets) out.sizes += " (" + std::to_string(operation["data"].dump().size()) + " bytes)";
+        if (sets) out.sizes += " (" + std::to_string(wire::to_text(operation["data"]).size()) + " bytes)";
     }
     return out;
 }
--- a/src/service/loop_context.hpp
+++ b/src/service/loop_context.hpp
@@ -9,6 +9,7 @@
 #include "config/settings.hpp"
 #include "controller/core.hpp"
 #include "net/signal.hpp"
+#include "net/spawn.hpp"
 #include "net/time.hpp"
 
 namespace wellstair::service {
@@ -40,8 +41,6 @@
     return {net::steady_now(), net::wall_now()};
 }
 
-// Runs a coroutine on the io_context. An exception that leaves it terminates the process with exit code 3: without one
-// of its loops the controller would work only in part, and all durable data is in the state service.
-void spawn(asio::io_context& io, asio::awaitable<void> work);
+using net::spawn;
 
 }  // namespace wellstair::service
--- a/src/state/transaction_builder.cpp
+++ b/src/state/transaction_builder.cpp
@@ -119,13 +119,13 @@
 
 std::size_t TransactionBuilder::submission_size(const wire::JobSpec& spec) {
     constexpr std::int64_t kLongestWallS = 9'999'999'999;  // has at least as many digits as any time that is written
-    return submission(spec, kLongestWallS).dump().size();
+    return wire::to_text(submission(spec, kLongestWallS)).size();
 }
 
 bool TransactionBuilder::submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS) {
     if (sets_key(keys::active(spec.id))) return true;
     Json body = submission(spec, atS);
-    std::size_t bytes = body.dump().size() + kSubmissionBytes;
+    std::size_t bytes = wire::to_text(body).size() + kSubmissionBytes;
     if (!has_room(2, 2, bytes)) return false;
     bytes_ += bytes;
     require(keys::job(spec.id), 0);
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -153,7 +153,7 @@
     if (result.outcome == Outcome::busy) writes_.record_throttled(net::steady_now());
     if (result.outcome == Outcome::malformed)
         spdlog::error("state service rejected a transaction as malformed: {}",
-                      body ? body->dump() : "no readable response body");
+                      body ? wire::to_text(*body) : "no readable response body");
     co_return result;
 }
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -30,6 +30,23 @@
     int depth_ = 0;
 };
 
+constexpr std::uint32_t kMaxCodePoint = 0x10ffff;
+
+// What the first byte of a character in UTF-8 tells: the number of its bytes (0: no first byte), the bits of the code
+// point in the first byte, and the least code point that may be encoded with that many bytes.
+struct Utf8Lead {
+    std::size_t bytes;
+    std::uint32_t bits, least;
+};
+
+Utf8Lead parse_lead(unsigned char byte) {
+    if (byte < 0x80) return {1, byte, 0};
+    if (byte >> 5 == 0x6) return {2, byte & 0x1fu, 0x80};
+    if (byte >> 4 == 0xe) return {3, byte & 0x0fu, 0x800};
+    if (byte >> 3 == 0x1e) return {4, byte & 0x07u, 0x10000};
+    return {0, 0, 0};
+}
+
 // Returns null if the field is missing or null, or if the value is not a map.
 const Json* find(const Json& map, const char* key) {
     if (!map.is_object()) return nullptr;
@@ -45,6 +62,28 @@
     return bytes;
 }
 
+std::string to_text(const Json& value) {
+    constexpr int kCompact = -1;
+    return value.dump(kCompact, ' ', false, Json::error_handler_t::replace);
+}
+
+bool is_utf8(std::string_view bytes) {
+    for (std::size_t i = 0; i < bytes.size();) {
+        const Utf8Lead lead = parse_lead(static_cast<unsigned char>(bytes[i]));
+        if (lead.bytes == 0 || bytes.size() - i < lead.bytes) return false;
+        std::uint32_t codePoint = lead.bits;
+        for (std::size_t k = 1; k < lead.bytes; ++k) {
+            const auto byte = static_cast<unsigned char>(bytes[i + k]);
+            if ((byte & 0xc0) != 0x80) return false;
+            codePoint = codePoint << 6 | (byte & 0x3f);
+        }
+        const bool surrogate = codePoint >= 0xd800 && codePoint <= 0xdfff;
+        if (codePoint < lead.least || surrogate || codePoint > kMaxCodePoint) return false;
+        i += lead.bytes;
+    }
+    return true;
+}
+
 std::optional<Json> decode(std::string_view bytes) {
     if (bytes.empty()) return std::nullopt;
     Json root;
@@ -56,7 +95,7 @@
 
 std::optional<std::string> get_string(const Json& map, const char* key) {
     const Json* value = find(map, key);
-    if (!value || !value->is_string()) return std::nullopt;
+    if (!value || !value->is_string() || !is_utf8(value->get_ref<const std::string&>())) return std::nullopt;
     return value->get<std::string>();
 }
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace wellstair::wire {
 namespace {
@@ -14,9 +15,16 @@
 constexpr std::array kCauses = {"", "done", "halted", "peers", "incomplete", "error", "full", "busy", "unknown"};
 constexpr std::array kCommandTypes = {"start", "halt", "reap"};
 
-constexpr std::size_t kMaxStringBytes = 200;    // limit on strings in a job specification
-constexpr std::size_t kMaxHostNameBytes = 100;  // limit on the host name in a heartbeat
-constexpr double kMaxNumber = 1e9;              // limit on numbers in a job specification
+constexpr std::size_t kMaxStringBytes = 200;  // limit on strings in a job specification
+constexpr std::size_t kMaxNameBytes = 100;    // limit on names and the address in a heartbeat
+constexpr double kMaxNumber = 1e9;            // limit on numbers in a job specification
+// Limit on the fencing token in a heartbeat. Tokens follow the revisions of the state service; above a larger one there
+// might be none left for the next leader.
+constexpr std::uint64_t kMaxFencingToken = std::numeric_limits<std::uint64_t>::max() / 2;
+
+bool is_text(const Json& value) {
+    return value.is_string() && is_utf8(value.get_ref<const std::string&>());
+}
 
 template <class Enum, std::size_t N>
 const char* enum_name(const std::array<const char*, N>& names, Enum value) {
@@ -91,7 +99,7 @@
     void read_optional_strings(const char* field, std::optional<std::vector<std::string>>& target) {
         if (absent(field)) return;
         const Json* values = get_array(body_, field);
-        if (values && std::all_of(values->begin(), values->end(), [](const Json& value) { return value.is_string(); }))
+        if (values && std::all_of(values->begin(), values->end(), is_text))
             target = values->get<std::vector<std::string>>();
         else
             reject(field, "be an array of machine type names, or null");
@@ -150,11 +158,30 @@
     fields.read_optional_number("dueS", spec.deadlineS);
 }
 
+// Reads an optional name in a heartbeat, which stays empty if it is absent. Names are stored in the values of shards,
+// so they are bounded. Returns false if it is present and not valid.
+bool read_name(const Json& body, const char* field, std::string& target) {
+    auto it = body.find(field);
+    if (it == body.end() || it->is_null()) return true;
+    auto name = get_string(body, field);
+    if (!name || name->size() > kMaxNameBytes) return false;
+    target = std::move(*name);
+    return true;
+}
+
+// Whether the name can be a part of a key in the state service and of a request's target.
+bool valid_key_part(std::string_view name) {
+    return std::none_of(name.begin(), name.end(), [](unsigned char c) {
+        constexpr std::string_view kReserved = "/&?#%+";
+        return c <= ' ' || c == 0x7f || kReserved.find(static_cast<char>(c)) != std::string_view::npos;
+    });
+}
+
 std::optional<TaskStatus> parse_task_status(const Json& body) {
     auto id = parse_task_id(get_string(body, "step").value_or(""));
     auto attempt = get_unsigned(body, "try");
     auto phase = parse_enum<TaskPhase>(kTaskPhases, get_string(body, "phase").value_or(""));
-    if (!id || !attempt || !phase) return std::nullopt;
+    if (!id || !attempt || *attempt > std::numeric_limits<std::uint32_t>::max() || !phase) return std::nullopt;
     TaskStatus status;
     status.job = std::move(id->job);
     status.index = id->index;
@@ -248,16 +275,17 @@
     auto host = get_string(body, "host");
     auto agentEpoch = get_unsigned(body, "tenure");
     auto sequence = get_unsigned(body, "tick");
-    if (!host || host->empty() || host->size() > kMaxHostNameBytes || !agentEpoch || !sequence) return std::nullopt;
+    if (!host || host->empty() || host->size() > kMaxNameBytes || !agentEpoch || !sequence) return std::nullopt;
     Heartbeat heartbeat;
     heartbeat.host = std::move(*host);
-    heartbeat.address = get_string(body, "address").value_or("");
-    heartbeat.machineType = get_string(body, "build").value_or("");
-    heartbeat.zone = get_string(body, "hall").value_or("");
+    if (!read_name(body, "address", heartbeat.address) || !read_name(body, "build", heartbeat.machineType) ||
+        !read_name(body, "hall", heartbeat.zone) || !valid_key_part(heartbeat.zone))
+        return std::nullopt;
     heartbeat.spot = get_bool(body, "loaners").value_or(false);
     heartbeat.agentEpoch = *agentEpoch;
     heartbeat.sequence = *sequence;
     heartbeat.fencingToken = get_unsigned(body, "baton").value_or(0);
+    if (heartbeat.fencingToken > kMaxFencingToken) return std::nullopt;
     heartbeat.preemptionNoticeS = get_number(body, "reclaimS");
     if (const Json* tasks = get_array(body, "steps")) {
         heartbeat.tasks.reserve(tasks->size());
@@ -298,7 +326,7 @@
     type.startupS = get_number(body, "startupS").value_or(0);
     if (const Json* zones = get_array(body, "halls"))
         for (const Json& zone : *zones)
-            if (zone.is_string()) type.zones.push_back(zone.get<std::string>());
+            if (is_text(zone)) type.zones.push_back(zone.get<std::string>());
     return type;
 }
 
--- a/src/workers/command_channel.cpp
+++ b/src/workers/command_channel.cpp
@@ -49,12 +49,12 @@
 // connections on which they send heartbeats, would exceed the socket limit.
 bool CommandChannels::make_ready(const std::string& host) {
     auto it = channels_.find(host);
-    if (it != channels_.end()) return !it->second.busy;
+    if (it != channels_.end()) return !it->second.busy();
     if (channels_.size() < maxChannels_) return true;
     auto leastRecent = channels_.end();
     for (auto candidate = channels_.begin(); candidate != channels_.end(); ++candidate) {
         const Channel& channel = candidate->second;
-        if (!channel.busy && (leastRecent == channels_.end() || channel.lastUse < leastRecent->second.lastUse))
+        if (!channel.busy() && (leastRecent == channels_.end() || channel.lastUse < leastRecent->second.lastUse))
             leastRecent = candidate;
     }
     if (leastRecent == channels_.end()) return false;
@@ -77,7 +77,7 @@
     CommandResult result;
     Channel& channel = channels_[host];
     if (!connect(channel, address)) co_return result;
-    channel.busy = true;
+    const net::SlotCounter::Slot slot = channel.requests.acquire();
     channel.lastUse = ++uses_;
     auto http = channel.http;  // the channel may have been erased by the time the response arrives
     wire::Json body;
@@ -85,7 +85,6 @@
     body["tenure"] = agentEpoch;
     body["orders"] = to_json(commands);
     net::Reply reply = co_await http->request(net::verb::post, "/commands", wire::encode(body), timeoutS);
-    if (auto it = channels_.find(host); it != channels_.end()) it->second.busy = false;
     if (!reply.answered()) http->drop_idle();
     co_return read_reply(reply, host);
 }
--- a/src/workers/command_channel.hpp
+++ b/src/workers/command_channel.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "net/http.hpp"
+#include "net/slot_counter.hpp"
 #include "wire/messages.hpp"
 
 namespace wellstair::workers {
@@ -42,15 +43,17 @@
 
     // Closes the channels of hosts for which `keep` returns false, except those with a request in flight.
     void prune(const std::function<bool(const std::string&)>& keep) {
-        std::erase_if(channels_, [&](const auto& entry) { return !entry.second.busy && !keep(entry.first); });
+        std::erase_if(channels_, [&](const auto& entry) { return !entry.second.busy() && !keep(entry.first); });
     }
 
   private:
     struct Channel {
         std::string address;
         std::shared_ptr<net::HttpClient> http;
-        bool busy = false;          // a request is in flight
+        net::SlotCounter requests;  // in flight, at most one
         std::uint64_t lastUse = 0;  // value of `uses_` at the last request
+
+        bool busy() const { return requests.used() > 0; }
     };
     // Opens the channel's connection, or a new one if the address has changed. False if the address is malformed.
     bool connect(Channel& channel, const std::string& address);
--- a/tests/api_server_test.cpp
+++ b/tests/api_server_test.cpp
@@ -1,4 +1,5 @@
-// The HTTP server over the loopback interface: routing by path and method, response headers and the body limit.
+// The HTTP server over the loopback interface: routing by path and method, response headers, the body limit, and the
+// connections of requests whose handler throws.
 #include <gtest/gtest.h>
 
 #include "api/server.hpp"
@@ -18,17 +19,23 @@
 
 class ApiServer : public testing::Test {
   protected:
-    static asio::awaitable<api::Response> answer(api::Response response) { co_return response; }
+    asio::awaitable<api::Response> answer(api::Response response) {
+        if (handlersThrow) throw std::runtime_error("thrown by the test");
+        co_return response;
+    }
 
     api::Handlers handlers() {
         api::Handlers handlers;
         handlers.submit = [this](const std::string& body) {
             return answer(submitted ? *submitted : echo("submit", body));
         };
-        handlers.heartbeat = [](const std::string& body) { return answer(echo("heartbeat", body)); };
-        handlers.poll = [](const std::string& id) { return answer(echo("poll", id)); };
-        handlers.cancel = [](const std::string& id) { return answer(echo("cancel", id)); };
-        handlers.healthy = [this] { return healthy; };
+        handlers.heartbeat = [this](const std::string& body) { return answer(echo("heartbeat", body)); };
+        handlers.poll = [this](const std::string& id) { return answer(echo("poll", id)); };
+        handlers.cancel = [this](const std::string& id) { return answer(echo("cancel", id)); };
+        handlers.healthy = [this] {
+            if (handlersThrow) throw std::runtime_error("thrown by the test");
+            return healthy;
+        };
         return handlers;
     }
 
@@ -58,9 +65,11 @@
     static wire::Json body(const Reply& reply) { return wire::decode(reply.body()).value_or("not MessagePack"); }
 
     asio::io_context io{1};
+    static constexpr std::size_t kMaxConnections = 10;
     bool healthy = true;
+    bool handlersThrow = false;
     std::optional<api::Response> submitted;
-    api::Server server{io, {"127.0.0.1", 0}, 10, 20, handlers()};
+    api::Server server{io, {"127.0.0.1", 0}, kMaxConnections, 20, handlers()};
 };
 
 TEST_F(ApiServer, RoutesByPathAndMethod) {
@@ -104,6 +113,22 @@
     EXPECT_EQ(send(http::verb::get, "/healthz").result_int(), 503u);
 }
 
+// Guards against connections that stay counted after an exception, until the server closes every new one.
+TEST_F(ApiServer, ExceptionOfAHandlerIsAnsweredAndGivesTheConnectionBack) {
+    using http::verb;
+    const std::pair<verb, const char*> requests[] = {{verb::post, "/v2/runs"},
+                                                     {verb::post, "/checkin"},
+                                                     {verb::get, "/v2/runs/j-1"},
+                                                     {verb::post, "/v2/runs/j-1/withdraw"},
+                                                     {verb::get, "/healthz"}};
+    handlersThrow = true;
+    for (const auto& [method, target] : requests)
+        for (std::size_t i = 0; i < kMaxConnections; ++i)
+            EXPECT_EQ(send(method, target, method == verb::post ? "B" : "").result_int(), 500u) << target;
+    handlersThrow = false;
+    for (std::size_t i = 0; i < kMaxConnections; ++i) EXPECT_EQ(send(verb::get, "/healthz").result_int(), 200u);
+}
+
 TEST_F(ApiServer, RejectsBodyAboveLimit) {
     EXPECT_EQ(send(http::verb::post, "/v2/runs", std::string(wire::kMaxBodyBytes + 1, 'x')).result_int(), 413u);
 }
--- a/tests/service_user_test.cpp
+++ b/tests/service_user_test.cpp
@@ -60,6 +60,29 @@
     EXPECT_EQ(submit(repeat).status, 400);
 }
 
+// Guards against texts that cannot be stored and made the request end without an answer.
+TEST_F(UserRequests, TextThatIsNotUtf8IsMalformed) {
+    start_serving();
+    const std::string latin1 = "cha\xeene";
+    for (const char* field : {"ref", "lane", "crew", "bundle", "hall", "shape", "rank"}) {
+        Json body = job_body();
+        body[field] = latin1;
+        const Response response = submit(body);
+        EXPECT_EQ(response.status, 400) << field;
+        EXPECT_TRUE(response.body["error"].get<std::string>().starts_with(field)) << response.body["error"];
+    }
+    Json body = job_body();
+    body["builds"] = {"c8", latin1};
+    EXPECT_EQ(submit(body).status, 400);
+    body = job_body();
+    body["note"] = latin1;  // an unknown field is ignored
+    EXPECT_EQ(submit(body).status, 201);
+    body["lane"] = latin1;  // as is any malformed field in the repeat of an accepted job
+    EXPECT_EQ(submit(body).status, 200);
+    EXPECT_EQ(poll(latin1.c_str()).status, 404);
+    EXPECT_EQ(cancel(latin1.c_str()).status, 404);
+}
+
 TEST_F(UserRequests, RefusesAJobThatCanNeverRun) {
     start_serving();
     EXPECT_EQ(submit(job_body(1000)).status, 422);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,6 +1,8 @@
 // Parsing and formatting of the messages of users, workers and the cloud.
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "wire/messages.hpp"
 
 using namespace wellstair::wire;
@@ -159,4 +161,77 @@
     EXPECT_FALSE(parse_heartbeat(body));
 }
 
+Json heartbeat_body() {
+    return {{"host", "n-000231"}, {"address", "10.1.0.232:9000"},
+            {"build", "g8"},      {"hall", "delta-north"},
+            {"tenure", 1},        {"tick", 88},
+            {"baton", 41},        {"steps", {{{"step", "j-000412/3"}, {"try", 2}, {"phase", "running"}}}}};
+}
+
+TEST(Wire, HeartbeatsThatCannotBeStoredOrOrderedAreRejected) {
+    ASSERT_TRUE(parse_heartbeat(heartbeat_body()));
+    const std::string latin1 = "cha\xeene", tooLong(101, 'x');
+    const std::uint64_t lastToken = std::numeric_limits<std::uint64_t>::max();
+    const std::pair<const char*, Json> invalid[] = {
+        {"host", latin1},  {"host", tooLong}, {"host", ""},         {"address", latin1}, {"address", tooLong},
+        {"address", 9000}, {"build", latin1}, {"build", tooLong},   {"hall", latin1},    {"hall", tooLong},
+        {"hall", "a b"},   {"hall", "a/b"},   {"hall", "a&page=1"}, {"hall", "a\n"},     {"hall", 1},
+        {"tenure", -1},    {"tick", "88"},    {"baton", lastToken}, {"steps", {latin1}}};
+    for (const auto& [field, value] : invalid) {
+        Json body = heartbeat_body();
+        body[field] = value;
+        EXPECT_FALSE(parse_heartbeat(body)) << field << " " << to_text(value).substr(0, 40);
+    }
+    Json body = heartbeat_body();
+    body["steps"][0]["try"] = (std::uint64_t{1} << 32) + 2;  // would be taken for attempt 2
+    EXPECT_FALSE(parse_heartbeat(body));
+    for (const char* field : {"address", "build", "hall", "baton", "steps"}) {
+        body = heartbeat_body();
+        body.erase(field);
+        EXPECT_TRUE(parse_heartbeat(body)) << field;
+        body[field] = nullptr;
+        EXPECT_TRUE(parse_heartbeat(body)) << field;
+    }
+}
+
+// Guards against machine types that cannot be stored: the list is written to the state service as a whole.
+TEST(Wire, MachineTypesWithTextThatIsNotUtf8AreLeftOut) {
+    const Json type = {{"sku", "g8"}, {"cores", 96}, {"halls", {"a", "cha\xeene"}}};
+    const auto parsed = parse_machine_type(type);
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(parsed->zones, std::vector<std::string>{"a"});
+    EXPECT_NO_THROW((void)to_json(*parsed).dump());
+    EXPECT_FALSE(parse_machine_type({{"sku", "cha\xeene"}, {"cores", 96}}));
+}
+
+TEST(Wire, Utf8) {
+    for (const char* text :
+         {"", "a", "\xc3\xae", "\xe2\x82\xac", "\xf0\x9f\x98\x80", "\xed\x9f\xbf", "\xf4\x8f\xbf\xbf"})
+        EXPECT_TRUE(is_utf8(text)) << text;
+    for (const char* text : {"\x80", "\xee", "\xc3", "\xc3x", "\xc0\xaf", "\xe0\x9f\xbf", "\xed\xa0\x80",
+                             "\xf4\x90\x80\x80", "\xf8\x88\x80\x80\x80", "\xff"})
+        EXPECT_FALSE(is_utf8(text)) << to_text(text);
+}
+
+// The strictest check of the checker: it agrees with the JSON library for all texts of up to three bytes of these.
+TEST(Wire, Utf8AgreesWithTheJsonLibrary) {
+    const unsigned char bytes[] = {0x00, 'a',  0x7f, 0x80, 0x8f, 0x90, 0x9f, 0xa0, 0xbf, 0xc0, 0xc1, 0xc2,
+                                   0xdf, 0xe0, 0xe1, 0xec, 0xed, 0xee, 0xef, 0xf0, 0xf3, 0xf4, 0xf5, 0xff};
+    const auto accepted = [](const std::string& text) {
+        try {
+            (void)Json(text).dump();
+            return true;
+        } catch (const Json::type_error&) {
+            return false;
+        }
+    };
+    for (unsigned char a : bytes)
+        for (unsigned char b : bytes)
+            for (unsigned char c : bytes)
+                for (unsigned char d : {'a', '\x80', '\xbf'}) {
+                    const std::string text = {char(a), char(b), char(c), char(d)};
+                    EXPECT_EQ(is_utf8(text), accepted(text)) << to_text(text);
+                }
+}
+
 }  // namespace
