A submission that fits no transaction is refused

What users would see: with a limit of more than 42 KiB for a value, a job description between that size and the 64 KiB of a request's body (a long list of machine types) got no answer, and the controller did nothing any more.

Cause: a description was compared with the limit of a value alone. A transaction takes two thirds of 64 KiB. Such a request stayed in the queue as one that does not fit into the present transaction, and the loop of the queue, which had nothing to commit, tried again at once.

Fix: the largest description is what fits into a value and into an otherwise empty transaction (TransactionBuilder::max_submission_size); a larger one gets 422, as one that is larger than a value did. So the first request of the queue always fits.

--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -111,9 +111,9 @@
     if (team->gpusMax > 0 && spec.gpus * tasks > team->gpusMax + kRoundingTolerance)
         return fmt::format("gpus: the job needs {:g} at the same time, but the limit of team {} is {:g}",
                            spec.gpus * tasks, spec.team, team->gpusMax);
-    if (state::TransactionBuilder::submission_size(spec) > state_limits().value_bytes())
-        return fmt::format("the job description exceeds {} bytes, the most that can be stored",
-                           state_limits().value_bytes());
+    const std::size_t maxSize = state::TransactionBuilder::max_submission_size(state_limits());
+    if (state::TransactionBuilder::submission_size(spec) > maxSize)
+        return fmt::format("the job description exceeds {} bytes, the most that can be stored", maxSize);
     if (context_.state().machine_types().empty()) {
         undetermined = true;
         return std::nullopt;
--- a/src/state/transaction_builder.cpp
+++ b/src/state/transaction_builder.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t kLayoutBytes = 200;      // the layout record
 constexpr std::size_t kPutBytes = 8192;        // any other value
 
+// Two thirds of the 64 KiB that a transaction may hold: the rest covers keys and the error of the estimate.
+constexpr std::size_t kMaxTransactionBytes = wire::kMaxBodyBytes * 2 / 3;
+
 Json submission(const wire::JobSpec& spec, std::int64_t atS) {
     return {{"s", to_json(spec)}, {"at", atS}};
 }
@@ -41,12 +44,11 @@
 }
 
 bool TransactionBuilder::has_room(int writes, int conditions, std::size_t bytes) const {
-    // Two thirds of the 64 KiB that a transaction may hold: the rest covers keys and the error of the estimate.
     std::size_t shardBytes = 0;
     for (const auto& [key, edit] : shards_) shardBytes += edit.size.bytes();
     return this->writes() + writes <= rules_.limits.transactionOperations &&
            static_cast<int>(preconditions_.size()) + conditions <= rules_.limits.max_preconditions() &&
-           bytes_ + shardBytes + bytes <= wire::kMaxBodyBytes * 2 / 3;
+           bytes_ + shardBytes + bytes <= kMaxTransactionBytes;
 }
 
 bool TransactionBuilder::sets_key(const std::string& path) const {
@@ -122,6 +124,10 @@
     return wire::to_text(submission(spec, kLongestWallS)).size();
 }
 
+std::size_t TransactionBuilder::max_submission_size(const config::StateLimits& limits) {
+    return std::min(limits.value_bytes(), kMaxTransactionBytes - kSubmissionBytes);
+}
+
 bool TransactionBuilder::submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS) {
     if (sets_key(keys::active(spec.id))) return true;
     Json body = submission(spec, atS);
--- a/src/state/transaction_builder.hpp
+++ b/src/state/transaction_builder.hpp
@@ -42,6 +42,8 @@
 
     // Size in bytes of the stored job description.
     static std::size_t submission_size(const wire::JobSpec& spec);
+    // Largest job description, in bytes, that fits into a value and into a transaction without other changes.
+    static std::size_t max_submission_size(const config::StateLimits& limits);
     bool submit(const wire::JobSpec& spec, const std::string& owner, std::int64_t atS);
     bool cancel(Job& job, std::int64_t atS);
     // Stops an attempt of a gang with a grace period for checkpoints.
--- a/tests/service_user_test.cpp
+++ b/tests/service_user_test.cpp
@@ -89,6 +89,23 @@
     EXPECT_EQ(store.writes_of(state::keys::job(kJob)), 0);
 }
 
+// Guards against a submission that is larger than a transaction: it would keep its place in the queue for ever, and the
+// loop of the queue busy.
+TEST_F(UserRequests, RefusesAJobThatFitsNoTransaction) {
+    constexpr std::size_t kLargestTypeName = 60000;
+    settings.valueKb = 64;
+    start_serving();
+    for (std::size_t size = 10000; size <= kLargestTypeName; size += 1000) {
+        Json body = job_body();
+        body["ref"] = "j-" + std::to_string(size);
+        body["builds"] = {"c8", std::string(size, 'x')};
+        const int status = submit(body).status;
+        EXPECT_TRUE(status == 201 || status == 422) << status << " for a type name of " << size << " bytes";
+        if (size == kLargestTypeName) EXPECT_EQ(status, 422);
+    }
+    EXPECT_EQ(submit(job_body()).status, 201);
+}
+
 TEST_F(UserRequests, CancelsAndConfirmsTheRepeat) {
     start_serving();
     EXPECT_EQ(submit(job_body()).status, 201);
