Commands to hosts have a component of their own

HostCommands (src/commands) now has one function for each question: whether a task must stop, whether it may start on the host, whether its start is due on this channel, whether an attempt may be acknowledged. What a direct request's outcome means for the record of a start is HostTracker's, beside the other changes of that record.

Three branches in tests got the braces that the compiler asks for.

--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -21,6 +21,7 @@
       context_(settings, incarnation),
       hosts_(settings),
       cancellations_(context_, hosts_, schedule_),
+      hostCommands_(context_, cancellations_, hosts_, schedule_),
       assignment_(context_),
       limits_(context_, assignment_, schedule_),
       failover_(context_, assignment_, cancellations_, hosts_, peers_, schedule_),
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -13,6 +13,7 @@
 
 #include "autoscaling/cloud_role.hpp"
 #include "autoscaling/scale_in_policy.hpp"
+#include "commands/host_commands.hpp"
 #include "common/timestamp.hpp"
 #include "config/settings.hpp"
 #include "controller/heartbeat_statistics.hpp"
@@ -104,16 +105,8 @@
     HeartbeatResponse handle_heartbeat(const wire::Heartbeat& heartbeat, Timestamp now);
     // Applies the status in a worker's reply to commands. It does not renew the lease.
     void handle_command_reply(const wire::Heartbeat& status, Timestamp now);
-    // The commands for the host: acknowledgements, stops and starts, in this order. `direct`: they are to be sent to
-    // the host's own address rather than in the response to its heartbeat.
-    std::vector<wire::Command> commands_for(const std::string& host, bool direct, Timestamp now);
-    // The commands that should be sent to hosts directly now, rather than in the response to their next heartbeat.
-    std::vector<std::pair<std::string, std::vector<wire::Command>>> commands_due(Timestamp now);
-    // Records commands that are about to be sent to the host directly.
-    void on_commands_sent(const std::string& host, const std::vector<wire::Command>& commands, Timestamp now);
-    // Records the outcome of commands sent directly. `answered`: false if they may still be executed later.
-    void on_commands_answered(const std::string& host, const std::vector<wire::Command>& commands, bool answered,
-                              std::uint64_t fencingToken);
+    // The commands for hosts, and the record of those sent directly.
+    commands::HostCommands& host_commands() { return hostCommands_; }
     HeartbeatStatistics& heartbeat_statistics() { return heartbeatStatistics_; }
     // Requests that the next round register the host with this controller as its leader.
     void request_acquisition(const wire::Heartbeat& heartbeat) { failover_.request_acquisition(heartbeat); }
@@ -182,12 +175,6 @@
     // Renews the lease of a host led by this controller. Returns false if the heartbeat is stale; it must then not be
     // answered with 200.
     bool renew_lease(const wire::Heartbeat& heartbeat, Timestamp now);
-    // Whether the host reports exactly the tasks placed on it and none of them has to stop.
-    bool in_sync(const state::HostRecord& host, const workers::HostTracker& tracker) const;
-    void log_start(const state::HostRecord& host, const wire::Command& start, const char* sentBy, Timestamp now) const;
-    // Adds stops for cancelled tasks whose start was sent but which no status has listed.
-    void add_stops_for_unseen_tasks(const state::HostRecord& host, const workers::HostTracker& tracker,
-                                    std::vector<wire::Command>& commands) const;
 
     const config::Settings& settings_;
     Tunables tunables_;
@@ -197,6 +184,7 @@
     peers::PeerTable peers_;
     reconciliation::JobHistories jobHistories_;
     leadership::CancellationRegistry cancellations_;
+    commands::HostCommands hostCommands_;
     leadership::ShardAssignment assignment_;
     leadership::StateLimitPolicy limits_;
     failover::HostFailover failover_;
--- a/src/controller/heartbeats.cpp
+++ b/src/controller/heartbeats.cpp
@@ -22,7 +22,7 @@
         reconciler_.apply_status(heartbeat, workers::StatusSource::heartbeat, now);
         response.kind = HeartbeatResponse::renewed;
         response.token = context_.state().host(heartbeat.host)->fencingToken;
-        response.commands = commands_for(heartbeat.host, false, now);
+        response.commands = hostCommands_.commands_for(heartbeat.host, commands::Channel::heartbeat_response, now);
     }
     return response;
 }
--- a/src/service/command_sender.cpp
+++ b/src/service/command_sender.cpp
@@ -12,11 +12,11 @@
 
 void CommandSender::send_due() {
     controller::Core& core = context_.core;
-    for (auto& [host, commands] : core.commands_due(now())) {
+    for (auto& [host, commands] : core.host_commands().due(now())) {
         if (!channels_.make_ready(host)) continue;
         const auto* record = core.state().host(host);
         const auto* tracker = core.tracker(host);
-        core.on_commands_sent(host, commands, now());
+        core.host_commands().record_sent(host, commands, now());
         Delivery delivery;
         delivery.host = host;
         delivery.address = tracker->address;
@@ -33,7 +33,7 @@
     auto result = co_await channels_.send(delivery.host, delivery.address, delivery.fencingToken, delivery.agentEpoch,
                                           delivery.commands, timeoutS);
     if (result.heartbeat) core.handle_command_reply(*result.heartbeat, now());
-    core.on_commands_answered(delivery.host, delivery.commands, result.answered, delivery.fencingToken);
+    core.host_commands().record_answered(delivery.host, delivery.commands, result.answered, delivery.fencingToken);
     if (!result.answered)
         spdlog::info("host {} did not respond to {} commands sent to it", delivery.host, delivery.commands.size());
     context_.signals.roundDue.notify();
--- a/src/workers/host_tracker.cpp
+++ b/src/workers/host_tracker.cpp
@@ -1,5 +1,6 @@
 #include "workers/host_tracker.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace wellstair::workers {
@@ -31,6 +32,13 @@
     ++sent.inFlight;
 }
 
+void HostTracker::record_direct_outcome(const TaskAttempt& start, bool answered, std::uint64_t fencingToken) {
+    auto sent = starts.find(start.task);
+    if (sent == starts.end() || sent->second.attempt != start.attempt) return;
+    if (sent->second.inFlight > 0) --sent->second.inFlight;
+    if (!answered) sent->second.unanswered = std::max(sent->second.unanswered, fencingToken);
+}
+
 bool HostTracker::start_in_transit(const TaskAttempt& start, std::uint64_t fencingToken) const {
     if (startsInResponse.count(start)) return true;
     auto sent = starts.find(start.task);
--- a/src/workers/host_tracker.hpp
+++ b/src/workers/host_tracker.hpp
@@ -111,6 +111,8 @@
     void record_start_in_response(const TaskAttempt& start);
     // Records a start that is sent directly, in a request of which the outcome is still to come.
     void record_direct_start(const TaskAttempt& start, double nowS);
+    // Records the outcome of such a request. `answered`: false if the start may still be executed later.
+    void record_direct_outcome(const TaskAttempt& start, bool answered, std::uint64_t fencingToken);
     // Whether a start of this attempt that was sent under the fencing token may still be executed. The attempt must not
     // be acknowledged before: the worker would forget it, and the start would then run it again.
     bool start_in_transit(const TaskAttempt& start, std::uint64_t fencingToken) const;
--- a/tests/odd_messages_test.cpp
+++ b/tests/odd_messages_test.cpp
@@ -172,7 +172,9 @@
     for (Json& body : variants(heartbeat_body("n-odd"), "steps")) {
         if (body["host"] == "n-odd") body["host"] = "n-odd" + std::to_string(++number);
         ask(heartbeatApi.heartbeat(wire::encode(body)));
-        if (number % 50 == 0) EXPECT_TRUE(all_answered());
+        if (number % 50 == 0) {
+            EXPECT_TRUE(all_answered());
+        }
     }
     EXPECT_TRUE(all_answered());
     expect_only(answers, {200, 400, 503});
@@ -215,7 +217,9 @@
         if (!body) continue;
         ++decoded;
         auto job = wire::parse_job(*body);
-        if (const auto* spec = std::get_if<wire::JobSpec>(&job)) EXPECT_NO_THROW((void)to_json(*spec).dump());
+        if (const auto* spec = std::get_if<wire::JobSpec>(&job)) {
+            EXPECT_NO_THROW((void)to_json(*spec).dump());
+        }
         (void)wire::parse_heartbeat(*body);
     }
     EXPECT_GT(decoded, 100);
--- a/tests/service_user_test.cpp
+++ b/tests/service_user_test.cpp
@@ -101,7 +101,9 @@
         body["builds"] = {"c8", std::string(size, 'x')};
         const int status = submit(body).status;
         EXPECT_TRUE(status == 201 || status == 422) << status << " for a type name of " << size << " bytes";
-        if (size == kLargestTypeName) EXPECT_EQ(status, 422);
+        if (size == kLargestTypeName) {
+            EXPECT_EQ(status, 422);
+        }
     }
     EXPECT_EQ(submit(job_body()).status, 201);
 }
--- a/tests/simulation/cluster_messages.cpp
+++ b/tests/simulation/cluster_messages.cpp
@@ -17,7 +17,7 @@
 // --- commands
 
 void SimulatedCluster::send_due_commands(SimulatedController& controller) {
-    for (auto& [host, commands] : controller.core->commands_due(state_.timestamp()))
+    for (auto& [host, commands] : controller.core->host_commands().due(state_.timestamp()))
         send_commands(controller, host, commands);
 }
 
@@ -29,7 +29,7 @@
                       controller.core->tracker(host)->agentEpoch,
                       controller.core->state().host(host)->fencingToken,
                       commands};
-    controller.core->on_commands_sent(host, commands, state_.timestamp());
+    controller.core->host_commands().record_sent(host, commands, state_.timestamp());
     const double sentS = state_.nowS;
     network_.send(state_.nowS, network_.next_delay(state_.nowS),
                   [this, sent, sentS] { receive_commands(sent, sentS); });
@@ -56,7 +56,7 @@
     const bool hung = worker && state_.nowS < worker->hungUntilS;
     if (hung || random_.chance(0.5)) delayedCommands_.push_back({state_.nowS + random_.between(0.5, 90), sent});
     if (controller::Core* core = state_.process(sent.controller, sent.incarnation))
-        core->on_commands_answered(sent.host, sent.commands, false, sent.fencingToken);
+        core->host_commands().record_answered(sent.host, sent.commands, false, sent.fencingToken);
 }
 
 void SimulatedCluster::reply_to_commands(const SentCommands& sent, double sentS, SimulatedWorker& worker) {
@@ -68,7 +68,7 @@
         controller::Core* core = state_.process(sent.controller, sent.incarnation);
         if (!core) return;
         if (inTime) core->handle_command_reply(reply, state_.timestamp());
-        core->on_commands_answered(sent.host, sent.commands, inTime, sent.fencingToken);
+        core->host_commands().record_answered(sent.host, sent.commands, inTime, sent.fencingToken);
     });
 }
 
--- a/tests/trace_controller_commands.cpp
+++ b/tests/trace_controller_commands.cpp
@@ -176,8 +176,8 @@
 
 std::string TraceRunner::send_due_commands(Controller& controller, std::istringstream&) {
     std::string out;
-    for (auto& [host, commands] : controller.core->commands_due(now())) {
-        controller.core->on_commands_sent(host, commands, now());
+    for (auto& [host, commands] : controller.core->host_commands().due(now())) {
+        controller.core->host_commands().record_sent(host, commands, now());
         controller.lastSentCommands[host] = commands;
         out += (out.empty() ? "" : "; ") + host + ": " + describe(commands);
     }
@@ -186,8 +186,8 @@
 
 std::string TraceRunner::send_commands(Controller& controller, std::istringstream& arguments) {
     const std::string host = next_word(arguments);
-    auto commands = controller.core->commands_for(host, true, now());
-    controller.core->on_commands_sent(host, commands, now());
+    auto commands = controller.core->host_commands().commands_for(host, commands::Channel::direct, now());
+    controller.core->host_commands().record_sent(host, commands, now());
     controller.lastSentCommands[host] = commands;
     return describe(commands);
 }
@@ -203,7 +203,7 @@
     const std::string host = next_word(arguments);
     std::uint64_t fencingToken = 0;
     if (!(arguments >> fencingToken)) fencingToken = core.state().host(host)->fencingToken;
-    core.on_commands_answered(host, controller.lastSentCommands[host], false, fencingToken);
+    core.host_commands().record_answered(host, controller.lastSentCommands[host], false, fencingToken);
     return "";
 }
 
@@ -211,8 +211,8 @@
     controller::Core& core = *controller.core;
     const wire::Heartbeat reply = parse_heartbeat_line(arguments);
     core.handle_command_reply(reply, now());
-    core.on_commands_answered(reply.host, controller.lastSentCommands[reply.host], true,
-                              core.state().host(reply.host)->fencingToken);
+    core.host_commands().record_answered(reply.host, controller.lastSentCommands[reply.host], true,
+                                         core.state().host(reply.host)->fencingToken);
     return "";
 }
 
