Boot times and arrival windows have one place each

Scale-out had the window of arrivals and the sum of their tasks a second time (DemandHistory has both), scale-in and scale-out each a boot time for types that are not known (StateCache::boot_time_s now), and WorkerLease its own name for kNeverS. A share of GPUs that is tiny gave a number of tasks that does not fit the integer it was cast to, before the smaller of two numbers was taken; the smaller one is taken first now. Otherwise no behaviour is changed: the values are the same.

--- a/src/autoscaling/scale_in_policy.cpp
+++ b/src/autoscaling/scale_in_policy.cpp
@@ -38,7 +38,6 @@
 constexpr double kStuckBootTimes = 4;            // listed by the cloud, but not running
 constexpr double kNeverRegisteredBootTimes = 6;  // running, but never registered
 constexpr double kNeverRegisteredLeases = 3;
-constexpr double kDefaultBootS = 60;  // for unknown machine types
 
 constexpr std::size_t kMaxHostsPerCall = 100;
 
@@ -200,8 +199,7 @@
     for (const wire::Machine& machine : machines_) {
         const HostRecord* host = context_.state().host(machine.name);
         if (host && host->returning()) continue;
-        const auto* type = context_.state().machine_type(machine.machineType);
-        const double bootS = type ? type->startupS : kDefaultBootS;
+        const double bootS = context_.state().boot_time_s(machine.machineType);
         const bool registered = host && host->registered();
         const bool running = machine.phase == "running";
         const bool failed = machine.phase == "failed";
--- a/src/controller/scale_out.cpp
+++ b/src/controller/scale_out.cpp
@@ -13,11 +13,8 @@
 
 namespace {
 
-// The time over which arrivals are averaged to size the headroom, in leases.
-constexpr double kArrivalWindowLeases = 4;
 // A rented host that has not registered after a multiple of its boot time and a margin no longer counts as pending.
 constexpr double kPendingBootTimes = 4, kPendingMarginS = 30;
-constexpr double kUnknownBootS = 60;  // boot time of a machine type that is not known
 // Upper bound of the machines requested at a time: the larger of a fixed number, which a few calls bring, and a
 // fraction of the existing hosts, given by its divisor.
 constexpr std::size_t kMinScaleOutBatch = 20, kScaleOutBatchDivisor = 16;
@@ -57,17 +54,15 @@
     // Headroom: room for the tasks of each job class that usually arrive while a machine boots.
     placement::Planner headroomPlanner(now.wall, std::move(plan.machines), placementModel_.weights(plan.hosts.size()));
     for (const auto& [name, jobClass] : demand_.by_class()) {
-        double windowS = kArrivalWindowLeases * settings_.leaseS;
-        double tasks = 0;
-        for (const auto& [at, arrivedTasks] : jobClass.arrivals) tasks += arrivedTasks;
         double bootS = 0;
         for (const auto& [typeName, type] : context_.state().machine_types())
             if (need_of(jobClass.latestSpec).fits({type.cores, type.gpus, type.ramGb}))
                 bootS = std::max(bootS, type.startupS);
-        auto target = static_cast<std::uint32_t>(std::ceil(tunables_.headroom * tasks * bootS / windowS));
+        double headroomTasks = std::ceil(tunables_.headroom * jobClass.tasks() * bootS / demand_.window_s());
         const config::Team* team = settings_.team(jobClass.latestSpec.team);
         if (team && team->gpusMax > 0 && jobClass.latestSpec.gpus > 0)
-            target = std::min(target, static_cast<std::uint32_t>(team->gpusMax / jobClass.latestSpec.gpus));
+            headroomTasks = std::min(headroomTasks, std::floor(team->gpusMax / jobClass.latestSpec.gpus));
+        const auto target = static_cast<std::uint32_t>(headroomTasks);
         if (!target) continue;
         auto slots =
             headroomPlanner.place_batch(placementModel_.unconstrained_request(jobClass.latestSpec, target), true);
@@ -89,10 +84,9 @@
     if (!holds_cloud_role() || context_.state().machine_types().empty()) return out;
     std::erase_if(pendingHosts_, [&](auto& entry) {
         HostRecord* host = context_.state().host(entry.first);
-        const auto* type = context_.state().machine_type(entry.second.request.machineType);
+        const double bootS = context_.state().boot_time_s(entry.second.request.machineType);
         return (host && (host->registered() || host->returning())) ||
-               now.steady - entry.second.sinceS >
-                   kPendingBootTimes * (type ? type->startupS : kUnknownBootS) + kPendingMarginS;
+               now.steady - entry.second.sinceS > kPendingBootTimes * bootS + kPendingMarginS;
     });
     std::vector<placement::Offer> offers;
     std::vector<std::uint32_t> pending;     // per offer: rented hosts that have not registered yet
--- a/src/state/state_cache.cpp
+++ b/src/state/state_cache.cpp
@@ -40,6 +40,12 @@
     return machineType && machineType->fetchGbPerS > 0 ? machineType->fetchGbPerS : kDefaultFetchGbPerS;
 }
 
+double StateCache::boot_time_s(const std::string& typeName) const {
+    constexpr double kDefaultBootTimeS = 60;  // assumed for a type that is not known
+    const auto* machineType = machine_type(typeName);
+    return machineType ? machineType->startupS : kDefaultBootTimeS;
+}
+
 Job& StateCache::job_entry(const std::string& id) {
     auto& slot = jobs_[id];
     if (!slot) {
--- a/src/state/state_cache.hpp
+++ b/src/state/state_cache.hpp
@@ -55,6 +55,8 @@
     const wire::MachineType* machine_type(const std::string& typeName) const;
     // Image fetch rate of machines of this type in GB per second; a conservative default if it is unknown.
     double fetch_rate(const std::string& typeName) const;
+    // Usual boot time of machines of this type in seconds; a default if it is unknown.
+    double boot_time_s(const std::string& typeName) const;
 
     // Open jobs in submission order.
     const std::map<std::uint64_t, Job*>& queue() const { return queue_; }
--- a/src/workers/worker_lease.hpp
+++ b/src/workers/worker_lease.hpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <tuple>
 
+#include "common/timestamp.hpp"
+
 namespace wellstair::workers {
 
 // Identifies a heartbeat of one host. The larger of two is the newer one.
@@ -48,10 +50,8 @@
     std::string describe(double nowS) const;
 
   private:
-    static constexpr double kNotStartedS = -1e9;  // seconds on the steady clock, earlier than any event
-
     HeartbeatId lastAnswered_;
-    double measuredFromS_ = kNotStartedS;
+    double measuredFromS_ = kNeverS;
 };
 
 }  // namespace wellstair::workers
