tests: odd submissions are of every kind and reach the planning of scale-out

OddMessages sent odd values in job arrays only, and no test brought them to the code that sizes the demand for machines. Gangs in one zone and spread services are sent as well now, and the controller holds the cloud role and plans the machines to rent.

--- a/tests/odd_messages_test.cpp
+++ b/tests/odd_messages_test.cpp
@@ -101,6 +101,7 @@
   protected:
     void SetUp() override {
         settings.heartbeatIntervalS = 0.3;
+        store.put(state::keys::kCloudRole, {{"by", settings.member}, {"inc", core.incarnation()}});
         start_serving();
         start(rounds.run());
     }
@@ -154,16 +155,32 @@
     for (const auto& [status, count] : answers) EXPECT_TRUE(allowed.count(status)) << count << " answers of " << status;
 }
 
+// Job descriptions of every kind, with each kind of zone constraint.
+std::vector<Json> job_bodies() {
+    Json batch = job_body("j-odd"), gang = batch, service = batch;
+    gang["shape"] = "gang";
+    gang["together"] = true;
+    service["shape"] = "service";
+    service["scatter"] = true;
+    service["hall"] = nullptr;
+    return {batch, gang, service};
+}
+
 TEST_F(OddMessages, SubmissionsAreAnsweredAndLeaveTheControllerServing) {
     int number = 0;
-    for (Json& body : variants(job_body("j-odd"), nullptr)) {
-        if (body["ref"] == "j-odd") body["ref"] = "j-odd-" + std::to_string(++number);
-        ask(userApi.submit(wire::encode(body)));
+    for (const Json& ordinary : job_bodies()) {
+        for (Json& body : variants(ordinary, nullptr)) {
+            if (body["ref"] == "j-odd") body["ref"] = "j-odd-" + std::to_string(++number);
+            ask(userApi.submit(wire::encode(body)));
+        }
+        EXPECT_TRUE(all_answered());
     }
-    EXPECT_TRUE(all_answered());
     expect_only(answers, {200, 201, 400, 422});
     EXPECT_GT(answers[201], 0u);
     EXPECT_GT(answers[400], 0u);
+    ASSERT_TRUE(core.holds_cloud_role());
+    EXPECT_NO_THROW(core.plan_scale_out(service::now()));
+    EXPECT_FALSE(core.scale_out_requests(service::now()).empty());
     EXPECT_TRUE(serves());
 }
 
