Tests deliver executed direct requests a second time; a copied start runs a task twice

Cause: none of the test worlds delivered a direct request again once it had been executed and answered. The protocol allows that (late copies of requests that were carried out), and the incident has two such copies, 5.1 s and 9.8 s after the answer.

The simulated worker keeps an ended attempt until it is acknowledged, also when another attempt of the task starts there, as the protocol says. In the simulated cluster each start is compared with what the state service holds.

--- a/tests/command_delivery_test.cpp
+++ b/tests/command_delivery_test.cpp
@@ -1,6 +1,7 @@
-// Random walks over the orders in which the messages between one worker and its leader can be sent, delivered, delayed
-// or lost. Guards against a command that is still executed after its record was given up: a start that executes
-// although its task was released, or a release of a task that still runs. A failed walk prints its steps as a trace.
+// Random walks over the orders in which the messages between one worker and its leader can be sent, delivered, delayed,
+// lost or, for direct requests that were executed, delivered again. Guards against a command that is still executed
+// after its record was given up: a start that executes although its task was released, or a release of a task that
+// still runs. A failed walk prints its steps as a trace.
 #include <gtest/gtest.h>
 
 #include <iterator>
@@ -13,6 +14,7 @@
 #include <vector>
 
 #include "trace_runner.hpp"
+#include "trace_worker.hpp"
 
 namespace wellstair::test {
 namespace {
@@ -21,39 +23,25 @@
 constexpr int kSteps = 500, kMaxJobs = 25;
 constexpr const char* kHost = "n-1";
 
-// A command in the form in which traces show it, such as "stop j-1/0#2 saving".
-struct Command {
-    std::string verb, job;
-    int attempt = 0;
-};
-
-std::vector<Command> parse_commands(const std::string& text) {
-    std::vector<Command> commands;
-    std::istringstream words(text);
-    for (std::string verb, task; words >> verb && verb != "none" && words >> task;) {
-        const auto slash = task.find('/'), hash = task.find('#');
-        commands.push_back({verb, task.substr(0, slash), std::stoi(task.substr(hash + 1))});
-        if (words.peek() == ' ' && task.back() != ',') words.ignore(std::string(" saving,").size());
-    }
-    return commands;
-}
-
 struct Response {
     std::uint64_t sequence, token;
-    std::vector<Command> commands;
+    std::vector<TraceCommand> commands;
 };
 
 struct DirectRequest {
     std::uint64_t epoch, token;
     double sentS;
-    std::vector<Command> commands;
+    std::vector<TraceCommand> commands;
     bool executed = false;
     std::string reply;  // the status after the commands; empty: not executed
 };
 
+// Whether direct requests that were executed can be delivered again.
+enum class Copies { none, of_executed_requests };
+
 class Walk {
   public:
-    explicit Walk(unsigned seed) : random_(seed) {
+    Walk(unsigned seed, Copies copies) : random_(seed), copies_(copies) {
         run("controllers a b");
         run("join a");
         run("join b");
@@ -93,13 +81,13 @@
     }
 
     void end_session() {
-        ++epoch_;
-        tasks_.clear();
+        worker_.end_epoch();
         awaited_.reset();
         leaseFromS_ = nowS_;
     }
 
     void step() {
+        if (copies_ != Copies::none && !below(8)) return deliver_copy();
         switch (below(16)) {
             case 0:
             case 1:
@@ -131,42 +119,23 @@
 
     // --- the worker
 
-    std::string status() {
-        std::string line = std::string(kHost) + " " + std::to_string(epoch_) + " " + std::to_string(++sequence_) + " " +
-                           std::to_string(token_);
-        for (const auto& [key, phase] : tasks_)
-            line += " " + key.first + "/0#" + std::to_string(key.second) + "=" + phase;
-        return line;
-    }
-
     void send_heartbeat() {
         if (awaited_ && nowS_ - heartbeatSentS_ < kHeartbeatTimeoutS) return;
-        heartbeat_ = status();
-        awaited_ = sequence_;
+        heartbeat_ = worker_.status();
+        awaited_ = worker_.sequence();
         heartbeatSentS_ = nowS_;
     }
 
-    void execute(const std::vector<Command>& commands) {
-        for (const Command& command : commands) {
-            const std::pair key(command.job, command.attempt);
-            auto known = tasks_.find(key);
-            if (command.verb == "start" && known == tasks_.end()) start(key);
-            if (command.verb == "stop" && known != tasks_.end() && known->second == "running")
-                known->second = "stopped";
-            if (command.verb == "acknowledge" && known != tasks_.end() && known->second != "running")
-                tasks_.erase(known);
+    void execute(std::uint64_t token, const std::vector<TraceCommand>& commands) {
+        for (const auto& [job, attempt] : worker_.execute(token, commands)) {
+            const auto placed = placed_.find(job);
+            if (placed == placed_.end() || placed->second != attempt)
+                violation_ = "started " + job + "#" + std::to_string(attempt) + ", which is not placed";
         }
     }
 
-    void start(const std::pair<std::string, int>& key) {
-        const auto placed = placed_.find(key.first);
-        if (placed == placed_.end() || placed->second != key.second)
-            violation_ = "started " + key.first + "#" + std::to_string(key.second) + ", which is not placed";
-        tasks_[key] = "running";
-    }
-
     void end_task() {
-        for (auto& [key, phase] : tasks_)
+        for (auto& [key, phase] : worker_.tasks())
             if (phase == "running" && below(2)) phase = below(4) ? "done" : "stopped";
     }
 
@@ -179,7 +148,8 @@
         heartbeat_.reset();
         if (result.starts_with("200 ")) {
             const auto colon = result.find(':');
-            response_ = {sequence, std::stoull(result.substr(4, colon - 4)), parse_commands(result.substr(colon + 2))};
+            response_ = {sequence, std::stoull(result.substr(4, colon - 4)),
+                         parse_trace_commands(result.substr(colon + 2))};
         } else if (awaited_ == sequence) {
             awaited_.reset();
         }
@@ -198,11 +168,10 @@
         const Response response = *response_;
         response_.reset();
         const bool waiting = awaited_ == response.sequence && nowS_ - heartbeatSentS_ < kHeartbeatTimeoutS;
-        if (!waiting || response.token < token_) return;
-        token_ = response.token;
+        if (!waiting || response.token < worker_.token()) return;
         leaseFromS_ = heartbeatSentS_;
         awaited_.reset();
-        execute(response.commands);
+        execute(response.token, response.commands);
     }
 
     void send_direct() {
@@ -211,21 +180,22 @@
         if (result == "nothing") return;
         const auto colon = result.find(": ");
         std::istringstream target(run("target a n-1"));
-        DirectRequest request{0, 0, nowS_, parse_commands(result.substr(colon + 2)), false, ""};
+        DirectRequest request{0, 0, nowS_, parse_trace_commands(result.substr(colon + 2)), false, ""};
         target >> request.token >> request.epoch;
         direct_ = request;
     }
 
-    bool accepts(const DirectRequest& request) const { return request.epoch == epoch_ && request.token >= token_; }
+    void execute(const DirectRequest& request) {
+        if (!worker_.accepts(request.epoch, request.token)) return;
+        execute(request.token, request.commands);
+        if (copies_ != Copies::none) executed_.push_back(request);
+    }
 
     void execute_direct() {
         if (!direct_ || direct_->executed) return;
         direct_->executed = true;
-        if (accepts(*direct_)) {
-            token_ = direct_->token;
-            execute(direct_->commands);
-        }
-        direct_->reply = status();
+        execute(*direct_);
+        direct_->reply = worker_.status();
     }
 
     void finish_direct() {
@@ -245,9 +215,15 @@
         if (late_.empty()) return;
         const DirectRequest request = late_.front();
         late_.erase(late_.begin());
-        if (!accepts(request)) return;
-        token_ = request.token;
-        execute(request.commands);
+        execute(request);
+    }
+
+    // Nobody waits for the answer, which has a sequence number all the same.
+    void deliver_copy() {
+        if (executed_.empty()) return;
+        const DirectRequest copy = executed_[below(static_cast<int>(executed_.size()))];
+        if (worker_.accepts(copy.epoch, copy.token)) execute(copy.token, copy.commands);
+        worker_.status();
     }
 
     // --- users and the leader
@@ -278,28 +254,27 @@
     }
 
     void check_release(const std::string& job) {
-        auto task = tasks_.find({job, placed_.at(job)});
-        if (task != tasks_.end() && task->second == "running") violation_ = "released " + job + ", which runs";
+        if (worker_.runs({job, placed_.at(job)})) violation_ = "released " + job + ", which runs";
         placed_.erase(job);
     }
 
     TraceRunner runner_;
     std::vector<std::string> lines_;
     std::mt19937 random_;
+    Copies copies_;
     std::optional<std::string> violation_;
     double nowS_ = 0;
 
-    // The worker.
-    std::uint64_t epoch_ = 1, sequence_ = 0, token_ = 0;
+    TraceWorker worker_{kHost};
     double leaseFromS_ = 0, heartbeatSentS_ = 0;
     std::optional<std::uint64_t> awaited_;  // sequence number of the heartbeat without a response yet
-    std::map<std::pair<std::string, int>, std::string> tasks_;  // phases, by job and attempt
 
     // In flight.
     std::optional<std::string> heartbeat_;
     std::optional<Response> response_;
     std::optional<DirectRequest> direct_;
-    std::vector<DirectRequest> late_;  // without a reply in time, still to be executed
+    std::vector<DirectRequest> late_;      // without a reply in time, still to be executed
+    std::vector<DirectRequest> executed_;  // may be delivered again, however late
 
     // What the state service holds.
     int jobs_ = 0;
@@ -309,15 +284,23 @@
 
 class CommandDelivery : public testing::TestWithParam<unsigned> {};
 
-TEST_P(CommandDelivery, NoCommandOutlivesItsRecord) {
+void take_walks(unsigned seed, Copies copies) {
     constexpr unsigned kWalks = 150;
     for (unsigned i = 0; i < kWalks; ++i) {
-        Walk walk(GetParam() * kWalks + i);
+        Walk walk(seed * kWalks + i, copies);
         const auto violation = walk.take();
-        ASSERT_FALSE(violation) << *violation << ", walk " << i << " of seed " << GetParam() << ":\n" << walk.trace();
+        ASSERT_FALSE(violation) << *violation << ", walk " << i << " of seed " << seed << ":\n" << walk.trace();
     }
 }
 
+TEST_P(CommandDelivery, NoCommandOutlivesItsRecord) {
+    take_walks(GetParam(), Copies::none);
+}
+
+TEST_P(CommandDelivery, NoCopyOfAnExecutedRequestStartsATask) {
+    take_walks(GetParam(), Copies::of_executed_requests);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, CommandDelivery, testing::Range(1u, 7u));
 
 }  // namespace
--- a/tests/fault_scenarios_test.cpp
+++ b/tests/fault_scenarios_test.cpp
@@ -16,6 +16,14 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomFaults, testing::Range(1u, 13u));
 
+class RandomFaultsWithCommandCopies : public testing::TestWithParam<unsigned> {};
+
+TEST_P(RandomFaultsWithCommandCopies, InvariantsHoldAndEveryJobEnds) {
+    SimulatedCluster(GetParam(), {.name = "random_faults", .executedCommandCopyShare = 0.3}).run();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomFaultsWithCommandCopies, testing::Range(1u, 13u));
+
 // Combinations of faults named by operators.
 const Scenario kScenarios[] = {
     {.name = "LateTransactions",
@@ -204,6 +212,23 @@
          },
      .delayedHeartbeatCopyShare = 0.1,
      .upgrade = true},
+    {.name = "CommandCopiesWhileLeadersReturnAtOnce",
+     .onStep =
+         [](SimulatedCluster& cluster, double) {
+             for (double startS : {40.0, 70.0, 100.0, 130.0, 160.0, 190.0}) {
+                 if (cluster.at(startS)) cluster.cancel_running_jobs(1);
+                 if (cluster.at(startS + 5)) cluster.crash(cluster.leader_of_most_machines(), 0.3);
+             }
+         },
+     .submissionChance = 0.09,
+     .executedCommandCopyShare = 0.5},
+    {.name = "CommandCopiesDuringAnUpgrade",
+     .onStep =
+         [](SimulatedCluster& cluster, double) {
+             if (cluster.at(75) || cluster.at(120)) cluster.cancel_running_jobs(2);
+         },
+     .executedCommandCopyShare = 0.5,
+     .upgrade = true},
 };
 
 class CombinedFaults : public testing::TestWithParam<std::tuple<std::size_t, unsigned>> {};
--- a/tests/simulation/cluster_controllers.cpp
+++ b/tests/simulation/cluster_controllers.cpp
@@ -48,6 +48,7 @@
     controller.settings.nextStateLimits = limitsAnnounced ? std::optional(kLoweredStateLimits) : std::nullopt;
     controller.core =
         std::make_unique<controller::Core>(controller.settings, controller::Tunables{}, controller.incarnation);
+    state_.chunkSize = controller.core->state().chunk_size();
     controller.lastStoreAnswerS = state_.nowS;
     state_.sync(controller);
     controller.core->set_state_ready(true);
--- a/tests/simulation/cluster_invariants.cpp
+++ b/tests/simulation/cluster_invariants.cpp
@@ -18,7 +18,11 @@
 
 // --- at the start of a task
 
-void ClusterInvariants::check_start(const SimulatedWorker& worker, const workers::TaskKey& task) const {
+void ClusterInvariants::check_start(const SimulatedWorker& worker, const workers::TaskAttempt& attempt) const {
+    const workers::TaskKey& task = attempt.task;
+    EXPECT_TRUE(cluster_.placed(worker, attempt))
+        << task.first << "/" << task.second << " starts attempt " << attempt.attempt << " on " << worker.name
+        << ", where it is not placed, at " << cluster_.nowS << " s";
     check_single_instance(worker, task);
     const auto job = cluster_.jobs.find(task.first);
     ASSERT_TRUE(job != cluster_.jobs.end());
--- a/tests/simulation/cluster_invariants.hpp
+++ b/tests/simulation/cluster_invariants.hpp
@@ -18,7 +18,7 @@
     explicit ClusterInvariants(ClusterState& cluster) : cluster_(cluster) {}
 
     // Called before a worker starts a task.
-    void check_start(const SimulatedWorker& worker, const workers::TaskKey& task) const;
+    void check_start(const SimulatedWorker& worker, const workers::TaskAttempt& attempt) const;
     // Called at the end of every step.
     void check_step();
     // Called when a user requests the status of an accepted job or repeats its submission: the controller must know it.
--- a/tests/simulation/cluster_messages.cpp
+++ b/tests/simulation/cluster_messages.cpp
@@ -10,6 +10,7 @@
 constexpr double kCommandTimeoutShare = 0.6;  // of heartbeatIntervalS, after which a controller gives up on a reply
 constexpr double kRedirectDelayS = 0.25;      // from a 421 response to the heartbeat to the leader
 constexpr double kConfirmTokenDelayS = 0.5;   // from a new fencing token to the heartbeat that confirms it
+constexpr double kMaxCopyDelayS = 120;        // from the execution of a direct request to the arrival of a copy
 constexpr double kRetryDelayS = 1;            // from a failure to the heartbeat to the next controller
 
 }  // namespace
@@ -43,14 +44,27 @@
         drop_commands(sent, worker);
         return;
     }
-    if (sent.agentEpoch == worker->agentEpoch && sent.fencingToken >= worker->fencingToken) {
-        worker->fencingToken = sent.fencingToken;
-        execute(*worker, sent.commands);
+    if (execute_if_accepted(*worker, sent)) {
         worker->report_change(state_.nowS);
+        copy_at_random(sent);
     }
     reply_to_commands(sent, sentS, *worker);
 }
 
+bool SimulatedCluster::execute_if_accepted(SimulatedWorker& worker, const SentCommands& sent) {
+    if (sent.agentEpoch != worker.agentEpoch || sent.fencingToken < worker.fencingToken) return false;
+    worker.fencingToken = sent.fencingToken;
+    execute(worker, sent.commands);
+    return true;
+}
+
+// A copy of an executed request arrives up to two minutes later; nobody waits for the answer.
+void SimulatedCluster::copy_at_random(const SentCommands& sent) {
+    const double share = state_.scenario.executedCommandCopyShare;
+    if (share <= 0 || !before_faults_end() || !random_.chance(share)) return;
+    delayedCommands_.push_back({state_.nowS + random_.between(0.5, kMaxCopyDelayS), sent});
+}
+
 // Lost commands may still be executed up to 90 s later; the controller only sees a failure.
 void SimulatedCluster::drop_commands(const SentCommands& sent, const SimulatedWorker* worker) {
     const bool hung = worker && state_.nowS < worker->hungUntilS;
--- a/tests/simulation/cluster_state.cpp
+++ b/tests/simulation/cluster_state.cpp
@@ -63,6 +63,16 @@
     store.commit(transaction);
 }
 
+bool ClusterState::placed(const SimulatedWorker& worker, const workers::TaskAttempt& attempt) const {
+    const auto& [job, index] = attempt.task;
+    const auto chunk = store.keys().find(state::keys::chunk(job, index / chunkSize));
+    if (chunk == store.keys().end()) return false;
+    const auto record = state::ChunkRecord::decode(chunk->second.first);
+    return std::any_of(record.entries.begin(), record.entries.end(), [&](const auto& entry) {
+        return entry.index == index % chunkSize && entry.attempt == attempt.attempt && entry.host == worker.name;
+    });
+}
+
 std::uint32_t ClusterState::running_tasks(const std::string& job) const {
     std::uint32_t count = 0;
     for (const SimulatedWorker& worker : workers) {
--- a/tests/simulation/cluster_state.hpp
+++ b/tests/simulation/cluster_state.hpp
@@ -37,6 +37,7 @@
     Scenario scenario{"random_faults"};
     double nowS = 0;
     InMemoryStateStore store;
+    std::uint32_t chunkSize = 0;  // tasks in a stored chunk
     std::deque<SimulatedController> controllers;
     std::deque<SimulatedWorker> workers;
     std::map<std::string, SubmittedJob> jobs;
@@ -71,6 +72,8 @@
     // Commits operations without preconditions, for writers other than the code under test.
     void write_unconditionally(wire::Json operations);
 
+    // Whether the state service holds the intent to start this attempt on the worker.
+    bool placed(const SimulatedWorker& worker, const workers::TaskAttempt& attempt) const;
     // The number of running tasks of the job.
     std::uint32_t running_tasks(const std::string& job) const;
     // Whether every accepted job has ended or, as a service, runs all of its replicas.
--- a/tests/simulation/cluster_tasks.cpp
+++ b/tests/simulation/cluster_tasks.cpp
@@ -13,15 +13,14 @@
 
 void SimulatedCluster::execute(SimulatedWorker& worker, const std::vector<wire::Command>& commands) {
     for (const wire::Command& command : commands) {
-        auto it = worker.tasks.find({command.job, command.index});
-        const bool known = it != worker.tasks.end();
-        const bool sameAttempt = known && it->second.attempt == command.attempt;
+        const workers::TaskAttempt attempt{{command.job, command.index}, command.attempt};
+        auto it = worker.tasks.find(attempt.task);
+        const bool running = it != worker.tasks.end() && !it->second.ended();
         if (command.type == wire::CommandType::start) {
-            const bool busy = known && !it->second.ended();
-            if (!sameAttempt && !busy) start_task(worker, command);
-        } else if (sameAttempt && command.type == wire::CommandType::acknowledge) {
-            if (it->second.ended()) worker.tasks.erase(it);
-        } else if (sameAttempt && !it->second.ended()) {
+            if (!running && !worker.knows(attempt)) start_task(worker, command);
+        } else if (command.type == wire::CommandType::acknowledge) {
+            worker.forget_ended(attempt);
+        } else if (running && it->second.attempt == command.attempt) {
             it->second.end(wire::Cause::stopped);
         }
     }
@@ -29,10 +28,12 @@
 
 void SimulatedCluster::start_task(SimulatedWorker& worker, const wire::Command& command) {
     const workers::TaskKey key{command.job, command.index};
-    invariants_.check_start(worker, key);
+    invariants_.check_start(worker, {key, command.attempt});
     const auto job = state_.jobs.find(command.job);
     if (job == state_.jobs.end()) return;
     ++state_.startedTasks;
+    if (auto earlier = worker.tasks.find(key); earlier != worker.tasks.end())
+        worker.earlierAttempts[{key, earlier->second.attempt}] = earlier->second;
     const double endsAtS = state_.nowS + random_duration_s(job->second, command.index);
     worker.tasks[key] = {command.attempt, wire::TaskPhase::running, wire::Cause::none, endsAtS, state_.nowS};
 }
--- a/tests/simulation/delayed_deliveries.cpp
+++ b/tests/simulation/delayed_deliveries.cpp
@@ -1,4 +1,5 @@
-// Delivery of the delayed transactions, commands and copies of heartbeats of a simulated run.
+// Delivery of the delayed transactions, of commands that are delayed or arrive again, and of copies of heartbeats of a
+// simulated run.
 #include "simulation/simulated_cluster.hpp"
 
 namespace wellstair::test {
@@ -41,9 +42,8 @@
         if (!worker.present || worker.name != sent.host) continue;
         if (state_.nowS < worker.hungUntilS) {
             delayed.atS = worker.hungUntilS;
-        } else if (worker.agentEpoch == sent.agentEpoch && sent.fencingToken >= worker.fencingToken) {
-            worker.fencingToken = sent.fencingToken;
-            execute(worker, sent.commands);
+        } else if (execute_if_accepted(worker, sent)) {
+            worker.next_heartbeat();  // the reply, for which nobody waits, has a sequence number
         }
     }
 }
--- a/tests/simulation/scenario.hpp
+++ b/tests/simulation/scenario.hpp
@@ -51,6 +51,7 @@
     double urgentJobShare = 0.3;              // jobs of the priority class `urgent`
     double submissionChance = 0.06;           // probability of a submission in one step
     double lostCommandReplyShare = 0.03;      // command batches without a reply; half of them execute later
+    double executedCommandCopyShare = 0;      // command batches that arrive again after they were executed
     // Whether the run starts with the old version, upgrades the controllers one by one, and then lowers the limits.
     bool upgrade = false;
     double slowMessageShare = 0.1;  // messages between workers and controllers delayed by up to two seconds
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -1,14 +1,15 @@
 // Deterministic simulation of three controllers, their workers and users on a simulated clock, with faults drawn from a
 // seed or injected by a scenario: controllers crash, restart at once, or lose the state service, their peers or their
 // workers; member leases expire; transactions apply late; zones are isolated together with a controller; machines are
-// lost, restart, hang, or lose messages in one direction; commands execute late; heartbeats are duplicated; controllers
-// are upgraded and state limits are lowered. Messages are delayed and reordered. ClusterInvariants checks the
-// invariants at every step and, after the faults, that every accepted job ends or, as a service, runs.
+// lost, restart, hang, or lose messages in one direction; commands execute late or, once executed, arrive again;
+// heartbeats are duplicated; controllers are upgraded and state limits are lowered. Messages are delayed and reordered.
+// ClusterInvariants checks the invariants at every step and, after the faults, that every accepted job ends or, as a
+// service, runs.
 //
 // The implementation of the class by concern:
 //   simulated_cluster.cpp     the clock and the order of events within a step
 //   fault_injection.cpp       faults of scenarios, random faults, the upgrade
-//   delayed_deliveries.cpp    late transactions, commands and copies of heartbeats
+//   delayed_deliveries.cpp    late transactions and commands, copies of commands and heartbeats
 //   cluster_users.cpp         submissions, cancellations and status requests
 //   cluster_controllers.cpp   the controllers' work in a step
 //   cluster_messages.cpp      commands and heartbeats between controllers and workers
@@ -84,7 +85,7 @@
         double atS;
         wire::Json body;
     };
-    // Commands without a reply that are executed at `atS`.
+    // Commands that arrive at `atS`: those without a reply that are still to be executed, and copies of executed ones.
     struct DelayedCommands {
         double atS;
         SentCommands sent;
@@ -155,6 +156,9 @@
     void send_commands(SimulatedController& controller, const std::string& host,
                        const std::vector<wire::Command>& commands);
     void receive_commands(const SentCommands& sent, double sentS);
+    // Executes the commands if their agent epoch and fencing token are accepted. Returns whether they were.
+    bool execute_if_accepted(SimulatedWorker& worker, const SentCommands& sent);
+    void copy_at_random(const SentCommands& sent);
     void drop_commands(const SentCommands& sent, const SimulatedWorker* worker);
     void reply_to_commands(const SentCommands& sent, double sentS, SimulatedWorker& worker);
     HeartbeatReply handle_heartbeat(SimulatedController& controller, const wire::Heartbeat& heartbeat);
--- a/tests/simulation/simulated_worker.hpp
+++ b/tests/simulation/simulated_worker.hpp
@@ -50,6 +50,8 @@
     double hungUntilS = 0;            // suspended, and continues afterwards where it stopped
 
     std::map<workers::TaskKey, SimulatedTask> tasks;
+    // Ended attempts of tasks that have started again on this worker since, until they are acknowledged.
+    std::map<workers::TaskAttempt, SimulatedTask> earlierAttempts;
 
     // Starts a new session without tasks, as after a restart or the expiry of the lease.
     void start_session(double nowS);
@@ -61,6 +63,10 @@
     void report_change(double nowS);
     // Whether the job allows the worker's machine type, zone and, for a spot machine, spot capacity.
     bool fits(const wire::JobSpec& spec) const;
+    // Whether the worker knows this attempt, running or ended: a start of it then has no effect.
+    bool knows(const workers::TaskAttempt& attempt) const;
+    // Forgets this attempt if it has ended.
+    void forget_ended(const workers::TaskAttempt& attempt);
     // Whether the worker has a task of the job, running or ended.
     bool has_task_of(const std::string& job) const;
 };
