Simulated cluster: a service whose submission had no reply counts as one

Cause: at most one service may run in a simulated run, since several can hold a team's limit for ever, but only accepted ones were counted. The controllers were right; the printed state of all workers and trackers showed nothing else.

Change: submitted services are counted.

--- a/tests/simulation/cluster_state.hpp
+++ b/tests/simulation/cluster_state.hpp
@@ -42,8 +42,9 @@
     std::deque<SimulatedWorker> workers;
     std::map<std::string, SubmittedJob> jobs;
     std::map<std::string, double> zoneIsolatedUntilS;
-    int startedTasks = 0;      // number of tasks started
-    int acceptedServices = 0;  // number of services accepted
+    int startedTasks = 0;       // number of tasks started
+    int submittedServices = 0;  // number of services submitted; one without a reply may run as well
+    int acceptedServices = 0;   // number of services accepted
 
     // The simulated time as the monotonic and wall-clock times of a controller.
     controller::Timestamp timestamp() const { return {nowS, 1'000'000 + nowS}; }
--- a/tests/simulation/cluster_users.cpp
+++ b/tests/simulation/cluster_users.cpp
@@ -24,7 +24,7 @@
     const bool allUpgraded = std::none_of(state_.controllers.begin(), state_.controllers.end(),
                                           [](const SimulatedController& each) { return each.runsOldVersion; });
     const bool mayBeService =
-        allUpgraded && !gang && state_.nowS > kServicesStartS && state_.acceptedServices < kMaxServices;
+        allUpgraded && !gang && state_.nowS > kServicesStartS && state_.submittedServices < kMaxServices;
     service = mayBeService && random_.chance(0.3);
     if (service) spec.kind = wire::JobKind::service;
     spec.taskCount = gang ? 2 : 1 + static_cast<std::uint32_t>(random_.pick(3));
@@ -58,6 +58,7 @@
     auto builder = controller.core->new_transaction();
     builder.submit(spec, controller.settings.member, static_cast<std::int64_t>(state_.timestamp().wall));
     job.accepted = commit(controller, builder);
+    state_.submittedServices += service;
     state_.acceptedServices += service && job.accepted;
 }
 
