Each start, stop, acknowledgement and release is logged with its token, channel and proof

Starts and releases were logged at debug only, stops and acknowledgements not at all.

Change: one line at info for each decision: host, attempt, fencing token, direct request or heartbeat response, and what allows it (for a start what the host has shown, for a stop its reason, for an acknowledgement the highest token of direct starts, for a release the proof). A new leadership is logged with its range of tokens. Starts and stops that later heartbeat responses repeat are not logged again. The lines are in commands/command_log.

--- a/src/commands/host_commands.cpp
+++ b/src/commands/host_commands.cpp
@@ -1,7 +1,5 @@
 #include "commands/host_commands.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <map>
 
@@ -163,11 +161,7 @@
     if (!acknowledgements.empty() && may_acknowledge(*tracker, channel)) commands = std::move(acknowledgements);
     commands.insert(commands.end(), stops.begin(), stops.end());
     commands.insert(commands.end(), starts.begin(), starts.end());
-    if (channel == Channel::direct) return commands;
-    for (const Command& start : starts) {
-        tracker->record_start_in_response(task_attempt(start));
-        log_start(*record, start, "heartbeat response", now);
-    }
+    if (channel == Channel::heartbeat_response) record_response(*record, *tracker, commands, now);
     return commands;
 }
 
@@ -229,24 +223,48 @@
     return urgent;
 }
 
-void HostCommands::log_start(const HostRecord& host, const Command& start, const char* sentBy, Timestamp now) const {
-    if (!spdlog::should_log(spdlog::level::debug)) return;
-    const HostTracker& tracker = *hosts_.find(host.name);
-    spdlog::debug(
-        "start of task {}/{} attempt {} sent to host {} by {}: fencing token {} confirmed in agent epoch {}, lease {}",
-        start.job, start.index, start.attempt, host.name, sentBy, host.fencingToken, tracker.agentEpoch,
-        tracker.lease.describe(now.steady));
+StopReason HostCommands::stop_reason(const HostRecord& host, const HostTracker& tracker, const Command& stop) const {
+    const TaskAttempt stopped = task_attempt(stop);
+    const bool placed = std::any_of(host.placed.begin(), host.placed.end(), [&](const TaskRef& ref) {
+        return ref.job->id == stop.job && ref.index == stop.index && placed_task(ref).id.attempt == stop.attempt;
+    });
+    if (cancellations_.cancelled(stop.job)) return StopReason::job_cancelled;
+    if (!placed) return StopReason::not_placed;
+    return tracker.evictions.count(stopped.task) ? StopReason::leaves_host : StopReason::gang_stops;
+}
+
+void HostCommands::log(const Command& command, const HostRecord& host, const HostTracker& tracker, Channel channel,
+                       Timestamp now) const {
+    if (command.type == CommandType::start)
+        log_start(command, host, tracker, channel, now);
+    else if (command.type == CommandType::stop)
+        log_stop(command, host, tracker, channel, stop_reason(host, tracker, command));
+    else
+        log_acknowledgement(command, host, tracker, channel);
+}
+
+void HostCommands::record_response(const HostRecord& host, HostTracker& tracker, const std::vector<Command>& commands,
+                                   Timestamp now) const {
+    for (const Command& command : commands) {
+        const TaskAttempt target = task_attempt(command);
+        const auto stop = tracker.stops.find(target.task);
+        const bool repeatedStart = command.type == CommandType::start && sent_start(tracker, target);
+        const bool repeatedStop =
+            command.type == CommandType::stop && stop != tracker.stops.end() && stop->second.sentS != now.steady;
+        if (!repeatedStart && !repeatedStop) log(command, host, tracker, Channel::heartbeat_response, now);
+        if (command.type == CommandType::start) tracker.record_start_in_response(target);
+    }
 }
 
 void HostCommands::record_sent(const std::string& host, const std::vector<Command>& commands, Timestamp now) {
     if (commands.empty()) return;
     HostTracker& tracker = hosts_.track(host);
     ++tracker.directRequestsInFlight;
+    const HostRecord* record = context_.state().host(host);
     for (const Command& command : commands) {
+        if (record) log(command, *record, tracker, Channel::direct, now);
         if (command.type == CommandType::start) {
             tracker.record_direct_start(task_attempt(command), now.steady);
-            if (const HostRecord* record = context_.state().host(host))
-                log_start(*record, command, "direct command", now);
         } else if (command.type == CommandType::stop) {
             tracker.stops[{command.job, command.index}] = {command.attempt, now.steady - kSentBeforeS};
         }
--- a/src/commands/host_commands.hpp
+++ b/src/commands/host_commands.hpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "commands/command_log.hpp"
 #include "common/timestamp.hpp"
 #include "leadership/cancellation_registry.hpp"
 #include "leadership/controller_context.hpp"
@@ -17,10 +18,6 @@
 
 namespace wellstair::commands {
 
-// How commands are sent. A direct request may be executed minutes later; a response is dropped by the worker when it is
-// late.
-enum class Channel { heartbeat_response, direct };
-
 // Commands that are due for one host.
 struct HostCommandBatch {
     std::string host;
@@ -74,7 +71,13 @@
     // Adds stops for cancelled tasks whose start was sent but which no status has listed.
     void add_stops_for_unseen_tasks(const state::HostRecord& host, const workers::HostTracker& tracker,
                                     std::vector<wire::Command>& commands) const;
-    void log_start(const state::HostRecord& host, const wire::Command& start, const char* sentBy, Timestamp now) const;
+    // Records the starts in a heartbeat response, and logs its commands but for repeated ones.
+    void record_response(const state::HostRecord& host, workers::HostTracker& tracker,
+                         const std::vector<wire::Command>& commands, Timestamp now) const;
+    StopReason stop_reason(const state::HostRecord& host, const workers::HostTracker& tracker,
+                           const wire::Command& stop) const;
+    void log(const wire::Command& command, const state::HostRecord& host, const workers::HostTracker& tracker,
+             Channel channel, Timestamp now) const;
 
     leadership::ControllerContext& context_;
     const leadership::CancellationRegistry& cancellations_;
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -52,8 +52,8 @@
             HostTracker& tracker = hosts_.track(host.name);
             tracker.begin_leadership(state::granted_tokens(host.fencingToken, host.shard->revision),
                                      context_.now().steady);
-            spdlog::debug("now leader of host {}: fencing tokens {} to {}, shard revision {}", host.name,
-                          tracker.tokens.first, tracker.tokens.last, host.shard->revision);
+            spdlog::info("now leader of host {}: fencing tokens {} to {}, shard revision {}", host.name,
+                         tracker.tokens.first, tracker.tokens.last, host.shard->revision);
             tracker.address = host.address;
         }
         schedule_.mark_due(host);
--- a/src/reconciliation/task_reconciler.cpp
+++ b/src/reconciliation/task_reconciler.cpp
@@ -35,6 +35,14 @@
     tracker.state.transition_to(HostState::confirmed);
 }
 
+void log_release(const TaskRef& ref, std::uint32_t attempt, const HostRecord& host, const HostTracker* tracker,
+                 const TerminationProof& proof, Timestamp now) {
+    spdlog::info("releasing task {}/{} attempt {} on host {} as {}: {} (fencing token {}, lease {})", ref.job->id,
+                 ref.index, attempt, host.name, proof.verdict == Verdict::done ? "done" : "gone", proof.reason,
+                 tracker ? tracker->fencingToken : host.fencingToken,
+                 tracker ? tracker->lease.describe(now.steady) : "not tracked by this controller");
+}
+
 // The state of a task after its release.
 TaskState released_state(const Job& job, Verdict proven) {
     // The tasks of a gang complete together, so one that is done proves it for those whose hosts were lost before they
@@ -148,10 +156,9 @@
         if (returning) stop_for_return(ref, *tracker, builder, now);
         const TerminationProof proof = prover_.prove(host, ref);
         if (proof.verdict == Verdict::none) continue;
-        spdlog::debug("releasing task {}/{} on host {} as {}: {} (lease {})", ref.job->id, ref.index, host.name,
-                      proof.verdict == Verdict::done ? "done" : "gone", proof.reason,
-                      tracker ? tracker->lease.describe(now.steady) : "not tracked by this controller");
+        const std::uint32_t attempt = ref.job->task(ref.index, context_.state().chunk_size()).attempt;
         if (!builder.release_task(*ref.job, ref.index, released_state(*ref.job, proof.verdict))) return false;
+        log_release(ref, attempt, host, tracker, proof, now);
     }
     return true;
 }
