Acknowledgements wait for two heartbeats at most because of direct requests in flight

Cause: the fencing token does not rise while a direct request is in flight. A host of which each heartbeat crosses one would list its ended attempts for as long as that lasts, and a status has room for 64 KiB.

Change: after two consecutive responses in which acknowledgements had to wait, starts for the host go in its heartbeat responses only, until the token has risen.

Result: the trace acknowledgement-waits-for-direct-requests fails when starts are sent directly all the same.

--- a/src/commands/host_commands.cpp
+++ b/src/commands/host_commands.cpp
@@ -127,7 +127,9 @@
         tracker.needsFencing = true;
         schedule_.request_round();
     }
-    return tracker.raise_fencing_token();
+    const bool raised = tracker.raise_fencing_token();
+    tracker.responsesWithoutAcknowledgements = raised ? 0 : tracker.responsesWithoutAcknowledgements + 1;
+    return raised;
 }
 
 std::vector<Command> HostCommands::commands_for(const std::string& host, Channel channel, Timestamp now) {
@@ -205,6 +207,8 @@
         });
         add_stops_for_unseen_tasks(host, tracker, commands);
     }
+    if (!tracker.accepts_direct_starts())
+        std::erase_if(commands, [](const Command& command) { return command.type == CommandType::start; });
     if (!any_urgent(commands, tracker, now)) return {};
     return commands;
 }
--- a/src/workers/host_tracker.cpp
+++ b/src/workers/host_tracker.cpp
@@ -102,6 +102,7 @@
     tokens = granted;
     fencingToken = granted.first;
     directStartsUnder = 0;
+    responsesWithoutAcknowledgements = 0;
     unconfirmedS = nowS;
     lease.begin(nowS);
     starts.clear();
--- a/src/workers/host_tracker.hpp
+++ b/src/workers/host_tracker.hpp
@@ -19,6 +19,8 @@
 
 namespace wellstair::workers {
 
+// Consecutive heartbeat responses without the acknowledgements that were due, from which on no start is sent directly.
+inline constexpr int kMaxResponsesWithoutAcknowledgements = 2;
 // Consecutive heartbeat responses that did not reach a host, from which on it counts as unreachable.
 inline constexpr int kMissedAnswersUntilUnreachable = 2;
 
@@ -90,6 +92,8 @@
     // --- commands
     std::map<TaskKey, SentStart> starts;
     int directRequestsInFlight = 0;
+    // Consecutive heartbeat responses in which acknowledgements were due that had to wait for direct requests.
+    int responsesWithoutAcknowledgements = 0;
     // The starts in the response to the newest answered heartbeat. The worker may execute them until it sends its next
     // heartbeat.
     std::set<TaskAttempt> startsInResponse;
@@ -127,6 +131,10 @@
     // Changes to the next fencing token of this leadership. Returns false, with no effect, while a direct request is in
     // flight, which the worker would refuse, or when there is no token left.
     bool raise_fencing_token();
+    // Whether starts may be sent directly: not while acknowledgements have waited for too many responses already.
+    bool accepts_direct_starts() const {
+        return responsesWithoutAcknowledgements < kMaxResponsesWithoutAcknowledgements;
+    }
     // Whether the newest status shows a fencing token of this leadership: those of earlier leaders are refused.
     bool shows_leadership() const { return tokens.contains(seenToken); }
     // Replaces the status by the contents of a newer heartbeat.
