Simulated cluster: transactions that were applied arrive a second time

Change: in the random faults with copies, a tenth of the applied transactions reaches the state service again, up to two minutes later, and the run fails if one applies. The runs are called RandomFaultsWithCopies now.

--- a/tests/fault_scenarios_test.cpp
+++ b/tests/fault_scenarios_test.cpp
@@ -16,13 +16,15 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomFaults, testing::Range(1u, 13u));
 
-class RandomFaultsWithCommandCopies : public testing::TestWithParam<unsigned> {};
+class RandomFaultsWithCopies : public testing::TestWithParam<unsigned> {};
 
-TEST_P(RandomFaultsWithCommandCopies, InvariantsHoldAndEveryJobEnds) {
-    SimulatedCluster(GetParam(), {.name = "random_faults", .executedCommandCopyShare = 0.3}).run();
+TEST_P(RandomFaultsWithCopies, InvariantsHoldAndEveryJobEnds) {
+    SimulatedCluster(GetParam(),
+                     {.name = "random_faults", .executedCommandCopyShare = 0.3, .appliedTransactionCopyShare = 0.1})
+        .run();
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, RandomFaultsWithCommandCopies, testing::Range(1u, 13u));
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomFaultsWithCopies, testing::Range(1u, 13u));
 
 // Combinations of faults named by operators.
 const Scenario kScenarios[] = {
--- a/tests/simulation/cluster_controllers.cpp
+++ b/tests/simulation/cluster_controllers.cpp
@@ -35,11 +35,18 @@
     const bool applied = result.starts_with("ok");
     if (result.starts_with("malformed"))
         controller.core->handle_rejected_transaction(written_keys(body), state_.timestamp());
+    if (applied) copy_at_random(body);
     if (applied || state_.nowS >= controller.slowReadsUntilS) state_.sync(controller);
     if (!applied) controller.core->request_replan();
     return applied;
 }
 
+void SimulatedCluster::copy_at_random(const wire::Json& appliedTransaction) {
+    const double share = state_.scenario.appliedTransactionCopyShare;
+    if (share <= 0 || !before_faults_end() || !random_.chance(share)) return;
+    delayedTransactions_.push_back({state_.nowS + random_.between(0.5, kMaxCopyDelayS), appliedTransaction, true});
+}
+
 void SimulatedCluster::start_process(SimulatedController& controller) {
     controller.incarnation = ++lastIncarnation_;
     controller.readBarrier = leadership::CancellationReadBarrier(controller.incarnation * kReadRequestsPerProcess);
--- a/tests/simulation/cluster_messages.cpp
+++ b/tests/simulation/cluster_messages.cpp
@@ -10,7 +10,6 @@
 constexpr double kCommandTimeoutShare = 0.6;  // of heartbeatIntervalS, after which a controller gives up on a reply
 constexpr double kRedirectDelayS = 0.25;      // from a 421 response to the heartbeat to the leader
 constexpr double kConfirmTokenDelayS = 0.5;   // from a new fencing token to the heartbeat that confirms it
-constexpr double kMaxCopyDelayS = 120;        // from the execution of a direct request to the arrival of a copy
 constexpr double kRetryDelayS = 1;            // from a failure to the heartbeat to the next controller
 
 }  // namespace
--- a/tests/simulation/delayed_deliveries.cpp
+++ b/tests/simulation/delayed_deliveries.cpp
@@ -1,5 +1,7 @@
 // Delivery of the delayed transactions, of commands that are delayed or arrive again, and of copies of heartbeats of a
 // simulated run.
+#include <gtest/gtest.h>
+
 #include "simulation/simulated_cluster.hpp"
 
 namespace wellstair::test {
@@ -20,7 +22,8 @@
             ++it;
             continue;
         }
-        state_.store.commit(it->body);
+        const std::string result = state_.store.commit(it->body);
+        EXPECT_FALSE(it->copy && result.starts_with("ok")) << "applied twice: " << it->body.dump();
         it = delayedTransactions_.erase(it);
     }
 }
--- a/tests/simulation/scenario.hpp
+++ b/tests/simulation/scenario.hpp
@@ -33,6 +33,7 @@
 constexpr double kMinChangeHeartbeatS = 0.5;        // minimum interval of heartbeats that report a change
 constexpr double kGangPeerTimeoutS = 8;             // a gang task exits when a peer is missing for longer
 constexpr double kMachineCores = 8;                 // of every machine type of the site
+constexpr double kMaxCopyDelayS = 120;              // from the execution of a request to the arrival of a copy
 constexpr double kMaxWaitDespiteCapacityS = 90;     // after the faults, for a job that some machine has capacity for
 constexpr std::size_t kMinWorkers = 6;              // lost machines are replaced below this number
 constexpr std::size_t kInitialWorkers = 8;          // at the start of a run
@@ -52,6 +53,7 @@
     double submissionChance = 0.06;           // probability of a submission in one step
     double lostCommandReplyShare = 0.03;      // command batches without a reply; half of them execute later
     double executedCommandCopyShare = 0;      // command batches that arrive again after they were executed
+    double appliedTransactionCopyShare = 0;   // transactions that arrive again after they were applied
     // Whether the run starts with the old version, upgrades the controllers one by one, and then lowers the limits.
     bool upgrade = false;
     double slowMessageShare = 0.1;  // messages between workers and controllers delayed by up to two seconds
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -80,10 +80,11 @@
         std::uint64_t agentEpoch, fencingToken;
         std::vector<wire::Command> commands;
     };
-    // A transaction without a reply that is applied at `atS`.
+    // A transaction that arrives at `atS`: one without a reply, or a copy of one that was applied.
     struct DelayedTransaction {
         double atS;
         wire::Json body;
+        bool copy = false;
     };
     // Commands that arrive at `atS`: those without a reply that are still to be executed, and copies of executed ones.
     struct DelayedCommands {
@@ -142,6 +143,7 @@
     // Controllers.
     bool commit(SimulatedController& controller, const state::TransactionBuilder& builder);
     bool commit(SimulatedController& controller, const wire::Json& body);
+    void copy_at_random(const wire::Json& appliedTransaction);
     void start_process(SimulatedController& controller);
     void renew_member_lease(SimulatedController& controller);
     void exchange_peer_status(SimulatedController& controller);
