Heartbeat statistics show the ended attempts that hosts list and the fencing tokens that were raised

Cause: nothing showed how many ended attempts wait for their acknowledgement, nor how often the token rises.

--- a/src/controller/heartbeat_statistics.hpp
+++ b/src/controller/heartbeat_statistics.hpp
@@ -1,4 +1,5 @@
-// Counts answered and rejected heartbeats and expired leases, and measures how much of a lease passes between renewals.
+// Counts answered and rejected heartbeats, expired leases and raised fencing tokens, and measures how much of a lease
+// passes between renewals and how many ended attempts hosts list.
 #pragma once
 
 #include <boost/histogram.hpp>
@@ -14,6 +15,9 @@
     // Records a response that renews a lease. `leaseShare`: fraction of the lease that had passed since the previous
     // renewal. `overtaken`: a newer status had already arrived in the reply to a command.
     void record_renewal(double leaseShare, bool overtaken);
+    // Records the number of ended attempts that an answered heartbeat lists.
+    void record_ended_attempts(std::size_t count) { endedAttempts_(static_cast<double>(count)); }
+    void record_raised_token() { ++raisedTokens_; }
     void record_stale_heartbeat() { ++staleHeartbeats_; }
     void record_lease_expiry() { ++expiredLeases_; }
     // Records a heartbeat in an agent epoch whose lease was taken to have expired. Apart from heartbeats that were
@@ -25,12 +29,15 @@
     std::string take_summary();
 
   private:
-    // Upper bound of the histogram bin that contains the quantile, as a fraction of the lease.
-    double quantile(double probability) const;
-
     using Axis = boost::histogram::axis::regular<>;
-    boost::histogram::histogram<std::tuple<Axis>> leaseShares_;
-    std::uint64_t renewals_ = 0, overtaken_ = 0, staleHeartbeats_ = 0, expiredLeases_ = 0, returnsAfterExpiry_ = 0;
+    using Histogram = boost::histogram::histogram<std::tuple<Axis>>;
+
+    // Upper bound of the histogram bin that contains the quantile; that of the last bin if it is above all of them.
+    static double quantile(const Histogram& histogram, double probability);
+
+    Histogram leaseShares_, endedAttempts_;
+    std::uint64_t renewals_ = 0, overtaken_ = 0, staleHeartbeats_ = 0, expiredLeases_ = 0, returnsAfterExpiry_ = 0,
+                  raisedTokens_ = 0;
 };
 
 }  // namespace wellstair::controller
--- a/src/controller/heartbeats.cpp
+++ b/src/controller/heartbeats.cpp
@@ -1,6 +1,8 @@
 // Responses to workers' heartbeats. A response of 200 renews the worker's lease; it is granted and recorded here.
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "controller/core.hpp"
 
 namespace wellstair::controller {
@@ -8,6 +10,16 @@
 using state::HostState;
 using workers::HostTracker;
 
+namespace {
+
+std::size_t ended_attempts(const wire::Heartbeat& heartbeat) {
+    return static_cast<std::size_t>(std::count_if(heartbeat.tasks.begin(), heartbeat.tasks.end(), [](const auto& task) {
+        return task.phase == wire::TaskPhase::ended;
+    }));
+}
+
+}  // namespace
+
 HeartbeatResponse Core::handle_heartbeat(const wire::Heartbeat& heartbeat, Timestamp now) {
     using Decision = failover::Admission::Decision;
     const failover::Admission admission = failover_.admit(heartbeat, now);
@@ -21,8 +33,11 @@
     } else if (admission.decision == Decision::accept && renew_lease(heartbeat, now)) {
         reconciler_.apply_status(heartbeat, workers::StatusSource::heartbeat, now);
         response.kind = HeartbeatResponse::renewed;
+        heartbeatStatistics_.record_ended_attempts(ended_attempts(heartbeat));
+        const std::uint64_t tokenBefore = hosts_.track(heartbeat.host).fencingToken;
         response.commands = hostCommands_.commands_for(heartbeat.host, commands::Channel::heartbeat_response, now);
         response.token = hosts_.track(heartbeat.host).fencingToken;
+        if (response.token > tokenBefore) heartbeatStatistics_.record_raised_token();
     }
     return response;
 }
