--- a/src/state/fencing_tokens.hpp
+++ b/src/state/fencing_tokens.hpp
@@ -1,8 +1,9 @@
 // The fencing tokens of a host's registrations.
 //
 // A registration grants its leader a range of tokens; the stored token is the last one. The leader sends its messages
-// under the first and changes to the next by itself, without a write, when copies of its earlier messages must no longer
-// be executed. The ranges of a host's registrations rise and do not overlap, so every token of an earlier leader is lower.
+// under the first and changes to the next by itself, without a write, when copies of its earlier messages must no
+// longer be executed. The ranges of a host's registrations rise and do not overlap, so every token of an earlier leader
+// is lower.
 //
 // Pure functions, free of I/O.
 #pragma once
