Tests restart workers whose heartbeats are cut; a lease is counted too short in an epoch seen in a reply

A task ran on two machines at once: attempt 1 of a task was started in an agent epoch that its leader knew only from the reply to a command. PROTOCOL lets the lease of a session begin with the session; the leader counted its end from a heartbeat before it, and started attempt 2 while attempt 1 had 4.7 s of its lease left.

The tests could not show it. The simulated cluster excluded sessions without an answered heartbeat from its check of leases (check_leases, leaseRenewed), the walks of CommandDelivery had no restart, no cut of one direction and no task that outlasts a lease, and the model of the lease knew one agent epoch. Now a worker's lease begins with each of its sessions, in the check too; machines restart and are back at once while their heartbeats are cut and commands arrive; direct requests are cut while heartbeats arrive; a new session is reported as a change. The walks' worker now takes part in the 0.2 s by which each round advances the clock: without it, its clock was slower than its leader's by about 40%.

Behaviour is unchanged: HeartbeatId only gets its other comparisons.

--- a/src/workers/worker_lease.hpp
+++ b/src/workers/worker_lease.hpp
@@ -5,9 +5,9 @@
 // later than on the worker.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
-#include <tuple>
 
 #include "common/timestamp.hpp"
 
@@ -16,9 +16,7 @@
 // Identifies a heartbeat of one host. The larger of two is the newer one.
 struct HeartbeatId {
     std::uint64_t agentEpoch = 0, sequence = 0;
-    bool operator<(const HeartbeatId& other) const {
-        return std::tie(agentEpoch, sequence) < std::tie(other.agentEpoch, other.sequence);
-    }
+    auto operator<=>(const HeartbeatId&) const = default;
 };
 
 class WorkerLease {
--- a/tests/command_delivery_test.cpp
+++ b/tests/command_delivery_test.cpp
@@ -1,7 +1,8 @@
 // Random walks over the orders in which the messages between one worker and its leader can be sent, delivered, delayed,
-// lost or, for direct requests that were executed, delivered again. Guards against a command that is still executed
-// after its record was given up: a start that executes although its task was released, or a release of a task that
-// still runs. A failed walk prints its steps as a trace.
+// lost or, for direct requests that were executed, delivered again. The worker's machine restarts, and its heartbeats
+// and the direct requests to it are cut off, each without the other or both. Guards against a command that is still
+// executed after its record was given up: a start that executes although its task was released, or a release of a task
+// that still runs. A failed walk prints its steps as a trace.
 #include <gtest/gtest.h>
 
 #include <iterator>
@@ -20,7 +21,9 @@
 namespace {
 
 constexpr double kLeaseS = 20, kHeartbeatTimeoutS = 4, kCommandTimeoutS = 1.8;  // as the settings of the traces imply
-constexpr int kSteps = 500, kMaxJobs = 25;
+constexpr double kRoundS = 0.2;  // by which a round of the trace runner advances the clock
+constexpr double kMaxCutS = 45;  // of heartbeats or direct requests
+constexpr int kSteps = 800, kMaxJobs = 40, kLongJobEvery = 2;
 constexpr const char* kHost = "n-1";
 
 struct Response {
@@ -75,8 +78,12 @@
     void pass_time() {
         if (below(6)) return;
         const double seconds = 0.25 * (1 + below(2));
-        nowS_ += seconds;
         run("wait " + std::to_string(seconds));
+        advance_worker_clock(seconds);
+    }
+
+    void advance_worker_clock(double seconds) {
+        nowS_ += seconds;
         if (nowS_ - leaseFromS_ > kLeaseS) end_session();
     }
 
@@ -88,6 +95,7 @@
 
     void step() {
         if (copies_ != Copies::none && !below(8)) return deliver_copy();
+        if (!below(60)) return inject_fault();
         switch (below(16)) {
             case 0:
             case 1:
@@ -109,7 +117,7 @@
             case 11:
                 return execute_late();
             case 12:
-                return below(2) ? submit() : cancel();
+                return below(5) ? submit() : cancel();
             case 13:
                 return end_task();
             default:
@@ -117,6 +125,18 @@
         }
     }
 
+    // --- faults
+
+    // A machine that restarts is back at once, in a new session.
+    void inject_fault() {
+        const int kind = below(4);
+        if (kind != 0) heartbeatsCutUntilS_ = nowS_ + below(static_cast<int>(kMaxCutS));
+        if (kind == 0 || kind == 1) end_session();
+        if (kind == 2) directCutUntilS_ = nowS_ + below(static_cast<int>(kMaxCutS));
+    }
+    bool heartbeats_cut() const { return nowS_ < heartbeatsCutUntilS_; }
+    bool direct_requests_cut() const { return nowS_ < directCutUntilS_; }
+
     // --- the worker
 
     void send_heartbeat() {
@@ -134,15 +154,18 @@
         }
     }
 
+    // Some jobs have tasks that run until they are stopped, so that tasks outlast a lease.
     void end_task() {
-        for (auto& [key, phase] : worker_.tasks())
-            if (phase == "running" && below(2)) phase = below(4) ? "done" : "stopped";
+        for (auto& [key, phase] : worker_.tasks()) {
+            const bool longRunning = std::stoi(key.first.substr(2)) % kLongJobEvery == 0;
+            if (phase == "running" && !longRunning && below(2)) phase = below(4) ? "done" : "stopped";
+        }
     }
 
     // --- messages
 
     void deliver_heartbeat() {
-        if (!heartbeat_) return;
+        if (!heartbeat_ || heartbeats_cut()) return;
         const std::uint64_t sequence = sequence_of(*heartbeat_);
         const std::string result = run("heartbeat a " + *heartbeat_);
         heartbeat_.reset();
@@ -164,7 +187,7 @@
     }
 
     void deliver_response() {
-        if (!response_) return;
+        if (!response_ || heartbeats_cut()) return;
         const Response response = *response_;
         response_.reset();
         const bool waiting = awaited_ == response.sequence && nowS_ - heartbeatSentS_ < kHeartbeatTimeoutS;
@@ -192,7 +215,7 @@
     }
 
     void execute_direct() {
-        if (!direct_ || direct_->executed) return;
+        if (!direct_ || direct_->executed || direct_requests_cut()) return;
         direct_->executed = true;
         execute(*direct_);
         direct_->reply = worker_.status();
@@ -212,7 +235,7 @@
     }
 
     void execute_late() {
-        if (late_.empty()) return;
+        if (late_.empty() || direct_requests_cut()) return;
         const DirectRequest request = late_.front();
         late_.erase(late_.begin());
         execute(request);
@@ -240,8 +263,12 @@
     }
 
     void round() {
+        advance_worker_clock(kRoundS);
         const std::string result = run("round a");
-        if (!result.ends_with("applied")) return;
+        if (result.ends_with("applied")) apply(result);
+    }
+
+    void apply(const std::string& result) {
         std::istringstream changes(result);
         for (std::string change; std::getline(changes, change, ';');) {
             std::istringstream words(change);
@@ -267,6 +294,7 @@
 
     TraceWorker worker_{kHost};
     double leaseFromS_ = 0, heartbeatSentS_ = 0;
+    double heartbeatsCutUntilS_ = 0, directCutUntilS_ = 0;
     std::optional<std::uint64_t> awaited_;  // sequence number of the heartbeat without a response yet
 
     // In flight.
--- a/tests/fault_scenarios_test.cpp
+++ b/tests/fault_scenarios_test.cpp
@@ -169,6 +169,17 @@
          },
      .submissionChance = 0.12,
      .slowMessageShare = 0.5},
+    {.name = "WorkersRestartWhileTheirHeartbeatsAreLost",
+     .onStep =
+         [](SimulatedCluster& cluster, double) {
+             for (double startS : {40.0, 90.0, 140.0, 190.0}) {
+                 if (cluster.at(startS)) cluster.restart_workers_unheard(0.6, 35);
+                 if (cluster.at(startS + 1) || cluster.at(startS + 4)) cluster.cancel_running_jobs(1);
+             }
+             if (cluster.at(92)) cluster.crash(cluster.leader_of_most_machines(), 0.3);
+             if (cluster.at(143)) cluster.crash(cluster.leader_of_most_machines(), 5);
+         },
+     .submissionChance = 0.12},
     {.name = "Upgrade", .onStep = [](SimulatedCluster&, double) {}, .upgrade = true},
     {.name = "UpgradeWithCrashes",
      .onStep =
--- a/tests/simulation/cluster_invariants.cpp
+++ b/tests/simulation/cluster_invariants.cpp
@@ -96,7 +96,8 @@
     return used;
 }
 
-// A controller whose fencing token a worker has accepted may not consider its lease expired before the worker does.
+// A controller that knows the worker's present session, and whose fencing token the worker has accepted, may not
+// consider its lease expired before the worker does, whether or not a heartbeat of that session was answered.
 void ClusterInvariants::check_leases() const {
     for (const SimulatedController& controller : cluster_.controllers) {
         if (!controller.core) continue;
@@ -105,7 +106,7 @@
             if (!tracker || tracker->state != state::HostState::expired) continue;
             const bool tokenCurrent =
                 tracker->tokens.contains(worker.fencingToken) && tracker->agentEpoch == worker.agentEpoch;
-            if (!tokenCurrent || !worker.leaseRenewed) continue;
+            if (!tokenCurrent) continue;
             EXPECT_GE(cluster_.nowS - worker.leaseStartS, kLeaseS)
                 << controller.settings.member << " considers the lease of " << worker.name << " expired at "
                 << cluster_.nowS << " s, but the worker holds it since " << worker.leaseStartS << " s";
--- a/tests/simulation/cluster_messages.cpp
+++ b/tests/simulation/cluster_messages.cpp
@@ -152,7 +152,6 @@
         if (reply.fencingToken > worker->fencingToken) worker->nextHeartbeatS = state_.nowS + kConfirmTokenDelayS;
         worker->fencingToken = reply.fencingToken;
         worker->leaseStartS = worker->lastHeartbeatS;
-        worker->leaseRenewed = true;
         execute(*worker, reply.commands);
     }
 }
--- a/tests/simulation/fault_injection.cpp
+++ b/tests/simulation/fault_injection.cpp
@@ -9,6 +9,7 @@
 
 constexpr double kImmediateRestartS = 0.3;  // of a crashed process
 constexpr double kUpgradeRestartS = 3;      // of a process that is replaced by the new version
+constexpr double kMaxRestartDelayS = 6;     // from the loss of a worker's heartbeats to its restart
 
 // The kinds of random faults. The value is the number drawn, so the order must stay.
 enum RandomFault : std::size_t {
@@ -28,6 +29,8 @@
     kIsolateZone,
     kSlowStoreReads,
     kCancelRunningJobs,
+    kWorkerRestartsUnheard,
+    kWorkerRestartsUnheardDuplicate,
     kRandomFaultKinds  // number of kinds
 };
 
@@ -86,6 +89,16 @@
         if (random_.chance(share)) extend(worker.heartbeatsLostUntilS, durationS);
 }
 
+void SimulatedCluster::restart_workers_unheard(double share, double durationS) {
+    for (SimulatedWorker& worker : state_.workers)
+        if (random_.chance(share)) restart_unheard(worker, durationS);
+}
+
+void SimulatedCluster::restart_unheard(SimulatedWorker& worker, double durationS) {
+    extend(worker.heartbeatsLostUntilS, durationS);
+    worker.restartAtS = state_.nowS + random_.between(0, kMaxRestartDelayS);
+}
+
 void SimulatedCluster::hang_workers(double share, double durationS) {
     for (SimulatedWorker& worker : state_.workers)
         if (random_.chance(share)) worker.hang(state_.nowS, durationS);
@@ -144,6 +157,7 @@
         worker.unreachableUntilS = state_.nowS + random_.between(5, 70);
     if (kind == kWorkerHangs) worker.hang(state_.nowS, random_.between(2, 60));
     if (kind == kHeartbeatsLost) worker.heartbeatsLostUntilS = state_.nowS + durationS;
+    if (kind == kWorkerRestartsUnheard || kind == kWorkerRestartsUnheardDuplicate) restart_unheard(worker, durationS);
 }
 
 void SimulatedCluster::inject_cluster_fault(std::size_t kind, double durationS) {
@@ -176,9 +190,12 @@
     }
 }
 
-// A worker whose heartbeats are unanswered for a whole lease ends its tasks and starts a new session.
-void SimulatedCluster::end_worker_lease(SimulatedWorker& worker) const {
-    if (state_.nowS - worker.leaseStartS >= kLeaseS) worker.start_session(state_.nowS);
+// A worker whose heartbeats are unanswered for a whole lease ends its tasks and starts a new session, as one does whose
+// machine restarts.
+void SimulatedCluster::end_worker_session(SimulatedWorker& worker) const {
+    const bool restarts = state_.nowS >= worker.restartAtS;
+    if (restarts) worker.restartAtS = kRunTimeoutS;
+    if (restarts || state_.nowS - worker.leaseStartS >= kLeaseS) worker.start_session(state_.nowS);
 }
 
 }  // namespace wellstair::test
--- a/tests/simulation/simulated_cluster.cpp
+++ b/tests/simulation/simulated_cluster.cpp
@@ -111,7 +111,7 @@
 
 void SimulatedCluster::run_step() {
     end_member_leases();
-    for (SimulatedWorker& worker : state_.workers) end_worker_lease(worker);
+    for (SimulatedWorker& worker : state_.workers) end_worker_session(worker);
     deliver_delayed();
     network_.deliver_due(state_.nowS);
     // All controllers plan before any of them commits, since real controllers plan concurrently on cached state.
--- a/tests/simulation/simulated_cluster.hpp
+++ b/tests/simulation/simulated_cluster.hpp
@@ -60,6 +60,9 @@
     void make_workers_unreachable(double share, double durationS);
     // Drops the heartbeats of a random share of the workers.
     void drop_heartbeats(double share, double durationS);
+    // Drops the heartbeats of a random share of the workers, each of which restarts a few seconds later and is back at
+    // once. Commands arrive, so that the reply to one is the first news of the new session.
+    void restart_workers_unheard(double share, double durationS);
     // Suspends a random share of the workers.
     void hang_workers(double share, double durationS);
     // Removes up to `count` random machines permanently.
@@ -123,7 +126,8 @@
     void extend(double& untilS, double durationS) const;
     void upgrade_controllers();
     void end_member_leases();
-    void end_worker_lease(SimulatedWorker& worker) const;
+    void restart_unheard(SimulatedWorker& worker, double durationS);
+    void end_worker_session(SimulatedWorker& worker) const;
 
     // Delayed deliveries.
     bool deliveries_pending() const;
--- a/tests/simulation/simulated_worker.cpp
+++ b/tests/simulation/simulated_worker.cpp
@@ -23,8 +23,8 @@
     earlierAttempts.clear();
     ++agentEpoch;
     leaseStartS = nowS;
-    leaseRenewed = false;
     awaitedHeartbeat = 0;
+    report_change(nowS);
 }
 
 void SimulatedWorker::hang(double nowS, double durationS) {
--- a/tests/simulation/simulated_worker.hpp
+++ b/tests/simulation/simulated_worker.hpp
@@ -41,19 +41,19 @@
     double leaseStartS = 0;  // send time of the last answered heartbeat, or start of the session
     double nextHeartbeatS = 0;
     double lastHeartbeatS = -kHeartbeatTimeoutS;
-    bool leaseRenewed = false;           // whether a heartbeat of this session has been answered
     std::uint64_t awaitedHeartbeat = 0;  // sequence of the unanswered heartbeat; 0: none
     std::size_t controller = 0;          // index of the controller that receives its heartbeats
 
-    double unreachableUntilS = 0;     // receives neither commands nor heartbeat responses
-    double heartbeatsLostUntilS = 0;  // its heartbeats are lost, but commands arrive
-    double hungUntilS = 0;            // suspended, and continues afterwards where it stopped
+    double unreachableUntilS = 0;      // receives neither commands nor heartbeat responses
+    double heartbeatsLostUntilS = 0;   // its heartbeats are lost, but commands arrive
+    double hungUntilS = 0;             // suspended, and continues afterwards where it stopped
+    double restartAtS = kRunTimeoutS;  // its machine restarts and is back at once
 
     std::map<workers::TaskKey, SimulatedTask> tasks;
     // Ended attempts of tasks that have started again on this worker since, until they are acknowledged.
     std::map<workers::TaskAttempt, SimulatedTask> earlierAttempts;
 
-    // Starts a new session without tasks, as after a restart or the expiry of the lease.
+    // Starts a new session without tasks, as after a restart or the expiry of the lease. Its lease begins with it.
     void start_session(double nowS);
     // Suspends the worker for `durationS`, which postpones the end of its tasks by the same time.
     void hang(double nowS, double durationS);
