Releases and stops are logged once for each decision; starts in unanswered epochs, proofs and lease margins are counted

The records of the incident have no line about the release that broke the rule: the line was written for each proposal, so again in every round until one was applied, and the logs were cut between the repetitions. The same held for the stop of an attempt that is not placed, at each heartbeat.

ReleaseLog logs a release at its first proposal and forgets it when the task changes; HostTracker keeps which stops were logged. New: a line when a host has begun an agent epoch, with the kind of message that told; in the line of a start, whether a heartbeat of its epoch was answered; in the line of an expiry, the margin after the latest end that the worker can give its lease. Proofs are an enumeration in place of texts, whose wording is unchanged.

--- a/src/commands/command_log.cpp
+++ b/src/commands/command_log.cpp
@@ -29,10 +29,11 @@
 void log_start(const wire::Command& start, const state::HostRecord& host, const workers::HostTracker& tracker,
                Channel channel, Timestamp now) {
     spdlog::info(
-        "start of task {}/{} attempt {} sent to host {} by {} under fencing token {}: agent epoch {}, the host has "
-        "shown token {}, lease {}",
+        "start of task {}/{} attempt {} sent to host {} by {} under fencing token {}: agent epoch {} ({}), the host "
+        "has shown token {}, lease {}",
         start.job, start.index, start.attempt, host.name, name(channel), tracker.fencingToken, tracker.agentEpoch,
-        tracker.seenToken, tracker.lease.describe(now.steady));
+        tracker.in_unanswered_epoch() ? "no heartbeat of it answered" : "a heartbeat of it answered", tracker.seenToken,
+        tracker.lease.describe(now.steady));
 }
 
 void log_stop(const wire::Command& stop, const state::HostRecord& host, const workers::HostTracker& tracker,
--- a/src/commands/host_commands.cpp
+++ b/src/commands/host_commands.cpp
@@ -65,8 +65,8 @@
 
 HostCommands::HostCommands(leadership::ControllerContext& context,
                            const leadership::CancellationRegistry& cancellations, workers::HostTable& hosts,
-                           leadership::RoundSchedule& schedule)
-    : context_(context), cancellations_(cancellations), hosts_(hosts), schedule_(schedule) {}
+                           leadership::RoundSchedule& schedule, reconciliation::DecisionStatistics& statistics)
+    : context_(context), cancellations_(cancellations), hosts_(hosts), schedule_(schedule), statistics_(statistics) {}
 
 HostCommands::PlacedTask HostCommands::placed_task(const TaskRef& ref) const {
     const Task task = ref.job->task(ref.index, context_.state().chunk_size());
@@ -237,25 +237,30 @@
     return tracker.evictions.count(stopped.task) ? StopReason::leaves_host : StopReason::gang_stops;
 }
 
-void HostCommands::log(const Command& command, const HostRecord& host, const HostTracker& tracker, Channel channel,
+// A stop is repeated until the attempt has ended, and logged once.
+void HostCommands::log(const Command& command, const HostRecord& host, HostTracker& tracker, Channel channel,
                        Timestamp now) const {
-    if (command.type == CommandType::start)
-        log_start(command, host, tracker, channel, now);
-    else if (command.type == CommandType::stop)
-        log_stop(command, host, tracker, channel, stop_reason(host, tracker, command));
-    else
-        log_acknowledgement(command, host, tracker, channel);
+    switch (command.type) {
+        case CommandType::start:
+            statistics_.record_start(!tracker.in_unanswered_epoch());
+            log_start(command, host, tracker, channel, now);
+            break;
+        case CommandType::stop:
+            if (tracker.loggedStops.insert(task_attempt(command)).second)
+                log_stop(command, host, tracker, channel, stop_reason(host, tracker, command));
+            break;
+        case CommandType::acknowledge:
+            log_acknowledgement(command, host, tracker, channel);
+            break;
+    }
 }
 
 void HostCommands::record_response(const HostRecord& host, HostTracker& tracker, const std::vector<Command>& commands,
                                    Timestamp now) const {
     for (const Command& command : commands) {
         const TaskAttempt target = task_attempt(command);
-        const auto stop = tracker.stops.find(target.task);
         const bool repeatedStart = command.type == CommandType::start && sent_start(tracker, target);
-        const bool repeatedStop =
-            command.type == CommandType::stop && stop != tracker.stops.end() && stop->second.sentS != now.steady;
-        if (!repeatedStart && !repeatedStop) log(command, host, tracker, Channel::heartbeat_response, now);
+        if (!repeatedStart) log(command, host, tracker, Channel::heartbeat_response, now);
         if (command.type == CommandType::start) tracker.record_start_in_response(target);
     }
 }
--- a/src/commands/host_commands.hpp
+++ b/src/commands/host_commands.hpp
@@ -14,6 +14,7 @@
 #include "leadership/cancellation_registry.hpp"
 #include "leadership/controller_context.hpp"
 #include "leadership/round_schedule.hpp"
+#include "reconciliation/decision_statistics.hpp"
 #include "workers/host_table.hpp"
 
 namespace wellstair::commands {
@@ -27,7 +28,8 @@
 class HostCommands {
   public:
     HostCommands(leadership::ControllerContext& context, const leadership::CancellationRegistry& cancellations,
-                 workers::HostTable& hosts, leadership::RoundSchedule& schedule);
+                 workers::HostTable& hosts, leadership::RoundSchedule& schedule,
+                 reconciliation::DecisionStatistics& statistics);
 
     // The commands for the host: acknowledgements, stops and starts, in this order. The starts in a heartbeat response
     // are recorded as sent.
@@ -71,18 +73,19 @@
     // Adds stops for cancelled tasks whose start was sent but which no status has listed.
     void add_stops_for_unseen_tasks(const state::HostRecord& host, const workers::HostTracker& tracker,
                                     std::vector<wire::Command>& commands) const;
-    // Records the starts in a heartbeat response, and logs its commands but for repeated ones.
+    // Records the starts in a heartbeat response, and logs its commands but for repeated starts.
     void record_response(const state::HostRecord& host, workers::HostTracker& tracker,
                          const std::vector<wire::Command>& commands, Timestamp now) const;
     StopReason stop_reason(const state::HostRecord& host, const workers::HostTracker& tracker,
                            const wire::Command& stop) const;
-    void log(const wire::Command& command, const state::HostRecord& host, const workers::HostTracker& tracker,
+    void log(const wire::Command& command, const state::HostRecord& host, workers::HostTracker& tracker,
              Channel channel, Timestamp now) const;
 
     leadership::ControllerContext& context_;
     const leadership::CancellationRegistry& cancellations_;
     workers::HostTable& hosts_;
     leadership::RoundSchedule& schedule_;
+    reconciliation::DecisionStatistics& statistics_;
 };
 
 }  // namespace wellstair::commands
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -21,7 +21,7 @@
       context_(settings, incarnation),
       hosts_(settings),
       cancellations_(context_, hosts_, schedule_),
-      hostCommands_(context_, cancellations_, hosts_, schedule_),
+      hostCommands_(context_, cancellations_, hosts_, schedule_, decisionStatistics_),
       assignment_(context_),
       limits_(context_, assignment_, schedule_),
       failover_(context_, assignment_, cancellations_, hosts_, peers_, schedule_),
@@ -35,12 +35,13 @@
       preemption_(context_, schedule_, hosts_, placementModel_, queueOrder_),
       planner_({context_, jobHistories_, eligibility_, placementModel_, demand_, queueOrder_, heldBack_, preemption_},
                schedule_),
-      reconciler_(context_, cancellations_, hosts_, jobHistories_, schedule_) {
+      reconciler_(context_, cancellations_, hosts_, jobHistories_, schedule_, decisionStatistics_) {
     reset_state();
 }
 
 void Core::reset_state() {
     context_.reset_state(own_layout());
+    reconciler_.reset_state();
     context_.state().onTaskChange = [this](Job& job, std::uint32_t index, const Task& before, const Task& after) {
         reconciler_.on_task_change(job, index, before, after);
         if (after.host && after.host != before.host) eligibility_.record_start(after.host->name);
@@ -185,11 +186,14 @@
         // The host has confirmed our fencing token, so only this controller can renew its lease.
         if (tracker.state == HostState::silent && tracker.lease.expired(now.steady, settings_.leaseS)) {
             tracker.state.transition_to(HostState::expired);
+            const double marginS = tracker.since_latest_lease_end(now.steady, settings_.leaseS);
             heartbeatStatistics_.record_lease_expiry();
+            decisionStatistics_.record_lease_expiry(marginS);
             spdlog::info(
-                "lease of host {} has expired with {} tasks placed: lease {}, newest status {}/{}, fencing token {}",
+                "lease of host {} has expired with {} tasks placed: lease {}, newest status {}/{}, fencing token {}, "
+                "{:.3f} s after its latest end at the worker",
                 name, host ? host->placed.size() : 0, tracker.lease.describe(now.steady), tracker.agentEpoch,
-                tracker.sequence, tracker.fencingToken);
+                tracker.sequence, tracker.fencingToken, marginS);
             changed = true;
             schedule_.due_hosts().insert(name);
         }
--- a/src/controller/core.hpp
+++ b/src/controller/core.hpp
@@ -26,6 +26,7 @@
 #include "peers/packet.hpp"
 #include "peers/peer_table.hpp"
 #include "placement/scale_out.hpp"
+#include "reconciliation/decision_statistics.hpp"
 #include "reconciliation/job_history.hpp"
 #include "reconciliation/task_reconciler.hpp"
 #include "scheduling/demand_history.hpp"
@@ -108,6 +109,7 @@
     // The commands for hosts, and the record of those sent directly.
     commands::HostCommands& host_commands() { return hostCommands_; }
     HeartbeatStatistics& heartbeat_statistics() { return heartbeatStatistics_; }
+    reconciliation::DecisionStatistics& decision_statistics() { return decisionStatistics_; }
     // Requests that the next round register the host with this controller as its leader.
     void request_acquisition(const wire::Heartbeat& heartbeat) { failover_.request_acquisition(heartbeat); }
     // Returns null if the host is not tracked.
@@ -183,6 +185,7 @@
     workers::HostTable hosts_;
     peers::PeerTable peers_;
     reconciliation::JobHistories jobHistories_;
+    reconciliation::DecisionStatistics decisionStatistics_;
     leadership::CancellationRegistry cancellations_;
     commands::HostCommands hostCommands_;
     leadership::ShardAssignment assignment_;
--- a/src/reconciliation/task_reconciler.cpp
+++ b/src/reconciliation/task_reconciler.cpp
@@ -29,20 +29,20 @@
     if (unreachableBefore && !tracker.missedAnswers) spdlog::info("host {} receives responses again", host);
 }
 
+void log_agent_epoch(const std::string& host, std::uint64_t epochBefore, const HostTracker& tracker,
+                     StatusSource source, Timestamp now) {
+    if (epochBefore == 0 || tracker.agentEpoch == epochBefore) return;
+    spdlog::info("host {} has begun agent epoch {} after {}, first seen in {}: lease {}", host, tracker.agentEpoch,
+                 epochBefore, source == StatusSource::heartbeat ? "a heartbeat" : "the reply to a command",
+                 tracker.lease.describe(now.steady));
+}
+
 void confirm_leadership(const std::string& host, HostTracker& tracker) {
     if (tracker.state == HostState::expired || tracker.state == HostState::silent)
         spdlog::info("host {} sends heartbeats again; it was silent or its lease had expired", host);
     tracker.state.transition_to(HostState::confirmed);
 }
 
-void log_release(const TaskRef& ref, std::uint32_t attempt, const HostRecord& host, const HostTracker* tracker,
-                 const TerminationProof& proof, Timestamp now) {
-    spdlog::info("releasing task {}/{} attempt {} on host {} as {}: {} (fencing token {}, lease {})", ref.job->id,
-                 ref.index, attempt, host.name, proof.verdict == Verdict::done ? "done" : "gone", proof.reason,
-                 tracker ? tracker->fencingToken : host.fencingToken,
-                 tracker ? tracker->lease.describe(now.steady) : "not tracked by this controller");
-}
-
 // The state of a task after its release.
 TaskState released_state(const Job& job, Verdict proven) {
     // The tasks of a gang complete together, so one that is done proves it for those whose hosts were lost before they
@@ -57,14 +57,16 @@
 
 TaskReconciler::TaskReconciler(leadership::ControllerContext& context,
                                const leadership::CancellationRegistry& cancellations, workers::HostTable& hosts,
-                               JobHistories& histories, leadership::RoundSchedule& schedule)
+                               JobHistories& histories, leadership::RoundSchedule& schedule,
+                               DecisionStatistics& statistics)
     : context_(context),
       cancellations_(cancellations),
       hosts_(hosts),
       histories_(histories),
       schedule_(schedule),
       failureRecorder_(context, histories),
-      prover_(context, cancellations, hosts) {}
+      prover_(context, cancellations, hosts),
+      releaseLog_(statistics) {}
 
 void TaskReconciler::apply_status(const wire::Heartbeat& heartbeat, StatusSource source, Timestamp now) {
     context_.set_now(now);
@@ -76,8 +78,10 @@
     const int missedAnswersBefore = tracker.missedAnswers;
     const bool confirmedBefore = tracker.state == HostState::confirmed;
     const bool noticeBefore = tracker.preemptionAtS.has_value();
+    const std::uint64_t epochBefore = tracker.agentEpoch;
 
     tracker.update(heartbeat, source, now.steady);
+    log_agent_epoch(heartbeat.host, epochBefore, tracker, source, now);
     const bool noticeChanged = noticeBefore != tracker.preemptionAtS.has_value();
     if (tracker.missedAnswers != missedAnswersBefore) schedule_.request_plan();
     log_reachability(heartbeat.host, missedAnswersBefore, tracker);
@@ -123,6 +127,7 @@
 
 void TaskReconciler::on_task_change(Job& job, std::uint32_t index, const Task& before, const Task& after) {
     schedule_.request_round();
+    releaseLog_.forget({job.id, index});
     if (before.host && before.host != after.host)
         if (HostTracker* tracker = hosts_.find(before.host->name)) tracker->evictions.erase(TaskKey{job.id, index});
     if (job.service() && before.host && !after.host) histories_.record_lost_replica(job.id, context_.now());
@@ -158,7 +163,7 @@
         if (proof.verdict == Verdict::none) continue;
         const std::uint32_t attempt = ref.job->task(ref.index, context_.state().chunk_size()).attempt;
         if (!builder.release_task(*ref.job, ref.index, released_state(*ref.job, proof.verdict))) return false;
-        log_release(ref, attempt, host, tracker, proof, now);
+        releaseLog_.record(ref, attempt, host, tracker, proof, now);
     }
     return true;
 }
--- a/src/reconciliation/task_reconciler.hpp
+++ b/src/reconciliation/task_reconciler.hpp
@@ -12,7 +12,9 @@
 #include "leadership/cancellation_registry.hpp"
 #include "leadership/controller_context.hpp"
 #include "leadership/round_schedule.hpp"
+#include "reconciliation/decision_statistics.hpp"
 #include "reconciliation/job_history.hpp"
+#include "reconciliation/release_log.hpp"
 #include "reconciliation/task_failure_recorder.hpp"
 #include "reconciliation/termination_proof.hpp"
 #include "state/transaction_builder.hpp"
@@ -23,7 +25,8 @@
 class TaskReconciler {
   public:
     TaskReconciler(leadership::ControllerContext& context, const leadership::CancellationRegistry& cancellations,
-                   workers::HostTable& hosts, JobHistories& histories, leadership::RoundSchedule& schedule);
+                   workers::HostTable& hosts, JobHistories& histories, leadership::RoundSchedule& schedule,
+                   DecisionStatistics& statistics);
 
     // Applies the status of a host led by this controller, unless a newer one has been applied. Only a heartbeat sent
     // by the worker confirms a fencing token; the reply to a command does not.
@@ -31,6 +34,9 @@
     // Handles a change of the task in the cached state. ControllerContext::now is the time of that change.
     void on_task_change(state::Job& job, std::uint32_t index, const state::Task& before, const state::Task& after);
 
+    // Handles that the cached state is discarded and read again.
+    void reset_state() { releaseLog_.clear(); }
+
     // For the due hosts, stops the tasks on those that are being returned and releases the tasks that are proven to be
     // done or gone. Requests another round if the transaction is full.
     void release_finished_tasks(state::TransactionBuilder& builder, Timestamp now);
@@ -62,6 +68,7 @@
     leadership::RoundSchedule& schedule_;
     TaskFailureRecorder failureRecorder_;
     TerminationProver prover_;
+    ReleaseLog releaseLog_;
 };
 
 }  // namespace wellstair::reconciliation
--- a/src/reconciliation/termination_proof.cpp
+++ b/src/reconciliation/termination_proof.cpp
@@ -15,26 +15,51 @@
 
 namespace {
 
-TerminationProof done(const char* reason) {
-    return {TerminationProof::Verdict::done, reason};
+TerminationProof done(ProofKind kind) {
+    return {TerminationProof::Verdict::done, kind};
 }
 
-TerminationProof gone(const char* reason) {
-    return {TerminationProof::Verdict::gone, reason};
+TerminationProof gone(ProofKind kind) {
+    return {TerminationProof::Verdict::gone, kind};
 }
 
 }  // namespace
 
+const char* to_string(ProofKind kind) {
+    switch (kind) {
+        case ProofKind::none:
+            return "none";
+        case ProofKind::machine_gone:
+            return "the cloud has confirmed that the machine is gone";
+        case ProofKind::lease_expired:
+            return "the lease has expired";
+        case ProofKind::earlier_agent_epoch:
+            return "its start was sent in an earlier agent epoch";
+        case ProofKind::earlier_fencing_token:
+            return "placed under an earlier fencing token, and not reported under the current one";
+        case ProofKind::never_sent:
+            return "its start was never sent";
+        case ProofKind::no_longer_reported:
+            return "no longer reported";
+        case ProofKind::not_reported_after_start:
+            return "not reported in a heartbeat newer than its start";
+        case ProofKind::reported_done:
+            return "reported as done";
+        case ProofKind::reported_ended:
+            return "reported as ended";
+    }
+    return "none";
+}
+
 TerminationProof TerminationProver::prove(const HostRecord& host, const TaskRef& ref) {
     // The cloud has confirmed that the machine is gone. The host's record is removed only after that. A task that was
     // placed without comparing the shard's revision may name a removed host.
     if (host.gone() || host.removed())
-        return context_.responsible(*ref.job) ? gone("the cloud has confirmed that the machine is gone")
-                                              : TerminationProof{};
+        return context_.responsible(*ref.job) ? gone(ProofKind::machine_gone) : TerminationProof{};
     if (!context_.leads_host(&host)) return {};
     HostTracker* tracker = hosts_.find(host.name);
     if (!tracker) return {};
-    if (tracker->state == HostState::expired) return gone("the lease has expired");
+    if (tracker->state == HostState::expired) return gone(ProofKind::lease_expired);
     if (tracker->state != HostState::confirmed)
         return {};  // commands of an earlier leadership may still reach the host
     return prove_by_heartbeats(host, *tracker, ref);
@@ -50,7 +75,7 @@
     if (sent && sent->inFlight > 0) return {};
     // Commands carry the agent epoch: the worker refuses one of an earlier epoch, however late it arrives.
     if (sent && tracker.agentEpoch > sent->agentEpoch && !tracker.tasks.count(key))
-        return gone("its start was sent in an earlier agent epoch");
+        return gone(ProofKind::earlier_agent_epoch);
     if (sent && sent->unanswered >= tracker.seenToken) {
         // The start may still execute minutes later, unless the host confirms a higher fencing token first.
         tracker.needsFencing = true;
@@ -60,20 +85,19 @@
     if (observed == tracker.tasks.end() || observed->second.attempt != task.attempt)
         return prove_absent(host, tracker, *ref.job, task, sent);
     if (observed->second.phase != wire::TaskPhase::ended) return {};
-    return observed->second.cause == wire::Cause::done ? done("reported as done") : gone("reported as ended");
+    return observed->second.cause == wire::Cause::done ? done(ProofKind::reported_done)
+                                                       : gone(ProofKind::reported_ended);
 }
 
 TerminationProof TerminationProver::prove_absent(const HostRecord& host, const HostTracker& tracker, const Job& job,
                                                  const Task& task, const SentStart* sent) const {
-    if (task.fencingToken != host.fencingToken)
-        return gone("placed under an earlier fencing token, and not reported under the current one");
+    if (task.fencingToken != host.fencingToken) return gone(ProofKind::earlier_fencing_token);
     const bool mustStop = must_stop(cancellations_, job, task);
-    if (!sent) return mustStop || host.returning() ? gone("its start was never sent") : TerminationProof{};
-    if (sent->seen) return gone("no longer reported");
+    if (!sent) return mustStop || host.returning() ? gone(ProofKind::never_sent) : TerminationProof{};
+    if (sent->seen) return gone(ProofKind::no_longer_reported);
     // The start was sent in the response to a heartbeat, and a newer heartbeat does not list the task: the worker has
     // dropped the start and cannot execute it late.
-    if (mustStop && sent->answered < tracker.lease.last_answered())
-        return gone("not reported in a heartbeat newer than its start");
+    if (mustStop && sent->answered < tracker.lease.last_answered()) return gone(ProofKind::not_reported_after_start);
     return {};
 }
 
--- a/src/reconciliation/termination_proof.hpp
+++ b/src/reconciliation/termination_proof.hpp
@@ -7,6 +7,8 @@
 // Owns only references. Single-threaded, free of I/O.
 #pragma once
 
+#include <cstddef>
+
 #include "leadership/cancellation_registry.hpp"
 #include "leadership/controller_context.hpp"
 #include "state/state_cache.hpp"
@@ -14,6 +16,24 @@
 
 namespace wellstair::reconciliation {
 
+// What proves that a task is done or gone.
+enum class ProofKind {
+    none,
+    machine_gone,
+    lease_expired,
+    earlier_agent_epoch,
+    earlier_fencing_token,
+    never_sent,
+    no_longer_reported,
+    not_reported_after_start,
+    reported_done,
+    reported_ended,
+};
+inline constexpr std::size_t kProofKinds = static_cast<std::size_t>(ProofKind::reported_ended) + 1;
+
+// The wording of log lines.
+const char* to_string(ProofKind kind);
+
 struct TerminationProof {
     enum class Verdict {
         none,  // no proof: the task may be running, or may still be started
@@ -21,7 +41,7 @@
         gone,  // the task has not completed, does not run, and this attempt can no longer be started
     };
     Verdict verdict = Verdict::none;
-    const char* reason = "";  // for the log; empty if the verdict is `none`
+    ProofKind kind = ProofKind::none;
 };
 
 class TerminationProver {
--- a/src/service/periodic_checks.cpp
+++ b/src/service/periodic_checks.cpp
@@ -27,6 +27,8 @@
     lastLoggedS_ = net::steady_now();
     auto& statistics = context_.core.heartbeat_statistics();
     if (!statistics.empty()) spdlog::info(statistics.take_summary());
+    auto& decisions = context_.core.decision_statistics();
+    if (!decisions.empty()) spdlog::info(decisions.take_summary());
 }
 
 }  // namespace wellstair::service
--- a/src/workers/host_tracker.cpp
+++ b/src/workers/host_tracker.cpp
@@ -55,7 +55,7 @@
 
 void HostTracker::update(const wire::Heartbeat& heartbeat, StatusSource source, double nowS) {
     if (source == StatusSource::heartbeat && agentEpoch) count_missed_answers(heartbeat, nowS);
-    agentEpoch = heartbeat.agentEpoch;
+    if (heartbeat.agentEpoch > agentEpoch) begin_agent_epoch(heartbeat.agentEpoch, nowS);
     sequence = heartbeat.sequence;
     seenToken = heartbeat.fencingToken;
     if (!heartbeat.address.empty()) address = heartbeat.address;
@@ -66,6 +66,15 @@
     update_tasks(heartbeat, nowS);
 }
 
+void HostTracker::begin_agent_epoch(std::uint64_t epoch, double nowS) {
+    agentEpoch = epoch;
+    agentEpochSeenS = nowS;
+}
+
+double HostTracker::since_latest_lease_end(double nowS, double leaseS) const {
+    return std::min(lease.age(nowS), nowS - agentEpochSeenS) - leaseS;
+}
+
 // A host that receives our response sends its next heartbeat here, with the next sequence number. One that does not
 // tries the other controllers first. Without this check, heartbeats that keep arriving would hide that no response
 // takes effect.
@@ -95,6 +104,8 @@
     }
     tasks = std::move(listed);
     std::erase_if(stops, [&](const auto& entry) { return !tasks.count(entry.first); });
+    std::erase_if(loggedStops,
+                  [&](const TaskAttempt& stop) { return !tasks.count(stop.task) && !starts.count(stop.task); });
 }
 
 void HostTracker::begin_leadership(const state::FencingTokenRange& granted, double nowS) {
@@ -107,6 +118,7 @@
     lease.begin(nowS);
     starts.clear();
     stops.clear();
+    loggedStops.clear();
     needsFencing = false;
     if (state != state::HostState::acquiring) state.transition_to(state::HostState::acquiring);
     state.transition_to(state::HostState::led);
--- a/src/workers/host_tracker.hpp
+++ b/src/workers/host_tracker.hpp
@@ -71,6 +71,7 @@
 
     // --- the newest status, from either source
     std::uint64_t agentEpoch = 0, sequence = 0;
+    double agentEpochSeenS = kNeverS;       // when the first status of this agent epoch arrived
     std::uint64_t seenToken = 0;            // highest fencing token that the host had seen when it sent the status
     std::string address;                    // "ip:port" at which the worker accepts commands
     std::optional<double> preemptionAtS;    // when the cloud reclaims the host, if it has given notice
@@ -98,6 +99,7 @@
     // heartbeat.
     std::set<TaskAttempt> startsInResponse;
     std::map<TaskKey, SentStop> stops;
+    std::set<TaskAttempt> loggedStops;  // stops that were logged, of tasks that may still be listed
     // Tasks to be stopped because they are preempted or the host is being returned, and since when.
     std::map<TaskKey, double> evictions;
 
@@ -137,6 +139,12 @@
     }
     // Whether the newest status shows a fencing token of this leadership: those of earlier leaders are refused.
     bool shows_leadership() const { return tokens.contains(seenToken); }
+    // Whether no heartbeat of the newest agent epoch has been answered: the first news of it came in the reply to a
+    // command.
+    bool in_unanswered_epoch() const { return agentEpoch > lease.last_answered().agentEpoch; }
+    // Seconds since the latest end that the worker can give its lease, as far as messages have shown; negative while
+    // the worker may hold it.
+    double since_latest_lease_end(double nowS, double leaseS) const;
     // Replaces the status by the contents of a newer heartbeat.
     void update(const wire::Heartbeat& heartbeat, StatusSource source, double nowS);
     // Starts a new leadership. The commands recorded under the previous one prove nothing any more and are discarded.
@@ -148,6 +156,7 @@
   private:
     // The record of the attempt's start, which is a new one if none has been sent.
     SentStart& sent_start(const TaskAttempt& start);
+    void begin_agent_epoch(std::uint64_t epoch, double nowS);
     void count_missed_answers(const wire::Heartbeat& heartbeat, double nowS);
     void update_tasks(const wire::Heartbeat& heartbeat, double nowS);
 };
--- a/tests/trace_controller_commands.cpp
+++ b/tests/trace_controller_commands.cpp
@@ -216,6 +216,10 @@
     return "";
 }
 
+std::string TraceRunner::take_decision_summary(Controller& controller, std::istringstream&) {
+    return controller.core->decision_statistics().take_summary();
+}
+
 // --- the cloud
 
 std::string TraceRunner::confirm_return(Controller& controller, std::istringstream& arguments) {
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -43,14 +43,15 @@
         {"heartbeat", &TraceRunner::handle_heartbeat},               // NAME HEARTBEAT
         {"due", &TraceRunner::send_due_commands},                    // NAME: to all hosts, without replies
         {"command", &TraceRunner::send_commands},                    // NAME HOST
-        {"target", &TraceRunner::command_target},       // NAME HOST: fencing token and agent epoch of commands sent now
-        {"unanswered", &TraceRunner::drop_reply},       // NAME HOST [TOKEN]: no reply to the last commands
-        {"answered", &TraceRunner::handle_reply},       // NAME HEARTBEAT: reply to the last commands
-        {"gone", &TraceRunner::confirm_return},         // NAME HOST: its return is confirmed
-        {"role", &TraceRunner::take_cloud_role},        // NAME
-        {"build-role", &TraceRunner::hold_cloud_role},  // NAME: `role`, transaction delayed
-        {"may-call-cloud", &TraceRunner::may_call_cloud},  // NAME
-        {"holds-role", &TraceRunner::holds_cloud_role},    // NAME
+        {"target", &TraceRunner::command_target},  // NAME HOST: fencing token and agent epoch of commands sent now
+        {"unanswered", &TraceRunner::drop_reply},  // NAME HOST [TOKEN]: no reply to the last commands
+        {"answered", &TraceRunner::handle_reply},  // NAME HEARTBEAT: reply to the last commands
+        {"decisions", &TraceRunner::take_decision_summary},  // NAME: its counts of decisions since the last time
+        {"gone", &TraceRunner::confirm_return},              // NAME HOST: its return is confirmed
+        {"role", &TraceRunner::take_cloud_role},             // NAME
+        {"build-role", &TraceRunner::hold_cloud_role},       // NAME: `role`, transaction delayed
+        {"may-call-cloud", &TraceRunner::may_call_cloud},    // NAME
+        {"holds-role", &TraceRunner::holds_cloud_role},      // NAME
     };
     return kCommands;
 }
--- a/tests/trace_runner.hpp
+++ b/tests/trace_runner.hpp
@@ -81,6 +81,7 @@
     std::string command_target(Controller& controller, std::istringstream& arguments);
     std::string drop_reply(Controller& controller, std::istringstream& arguments);
     std::string handle_reply(Controller& controller, std::istringstream& arguments);
+    std::string take_decision_summary(Controller& controller, std::istringstream& arguments);
 
     // Its calls to the cloud.
     std::string confirm_return(Controller& controller, std::istringstream& arguments);
