The lease of an agent epoch is counted from the first message that shows the epoch

Cause: PROTOCOL lets a worker count its lease from the sending of the last answered heartbeat or, "for a new worker or session", from when that began. The leader counted answered heartbeats alone. It learns of an epoch from replies to commands as well, and starts tasks in it; the end of their lease was counted from a heartbeat of the epoch before. The class: of a right that another party holds, only what renews it was counted, not what begins it.

WorkerLease::begin_agent_epoch counts from the first status of an epoch, whatever message it arrives in. The epoch began before that message was sent, and no task can be started in it by a leader that does not know it, so the count ends no earlier than the worker's. Silence, returns to the cloud and statistics go by the last answered heartbeat as before (renewal_age).

Failover is not later: a host that shows a new epoch while it is silent has lost the tasks of the epoch before, which TerminationProver now takes as proven at once (prove_by_agent_epoch) where it waited for the lease. An expiry is that of the newest known epoch: a later one makes the host silent again, and used again from its next heartbeat. Nothing is written to the state service for it, and no stored record or message changes.

--- a/src/autoscaling/scale_in_policy.cpp
+++ b/src/autoscaling/scale_in_policy.cpp
@@ -81,7 +81,7 @@
 bool ScaleInPolicy::lost(const HostTracker& tracker, Timestamp now) const {
     const bool confirmed = tracker.state == HostState::confirmed || tracker.state == HostState::silent;
     return !confirmed && tracker.lease.begun() &&
-           tracker.lease.age(now.steady) > kLostLeases * context_.settings().leaseS;
+           tracker.lease.renewal_age(now.steady) > kLostLeases * context_.settings().leaseS;
 }
 
 // Whether heartbeats arrive but answers have not reached the host for too long. No work can be sent there, and
@@ -100,7 +100,7 @@
 ScaleInPolicy::Verdict ScaleInPolicy::evaluate_led_host(const HostRecord& host, const HostTracker& tracker,
                                                         const Silence& silence, Timestamp now) const {
     const config::Settings& settings = context_.settings();
-    const double silentS = tracker.lease.age(now.steady);
+    const double silentS = tracker.lease.renewal_age(now.steady);
     const bool zoneResponsive = mostly_responsive(silence.byZone.at(host.zone));
     // If at least half of all led hosts are silent, this controller is more likely isolated itself, and other
     // controllers take the hosts over.
--- a/src/controller/core.cpp
+++ b/src/controller/core.cpp
@@ -183,7 +183,8 @@
             changed = true;
             schedule_.request_plan();
         }
-        // The host has confirmed our fencing token, so only this controller can renew its lease.
+        // The host has confirmed our fencing token, so only this controller can renew its lease, or start a task in an
+        // agent epoch that begins without a renewal.
         if (tracker.state == HostState::silent && tracker.lease.expired(now.steady, settings_.leaseS)) {
             tracker.state.transition_to(HostState::expired);
             const double marginS = tracker.since_latest_lease_end(now.steady, settings_.leaseS);
--- a/src/controller/heartbeats.cpp
+++ b/src/controller/heartbeats.cpp
@@ -54,7 +54,7 @@
         return false;
     }
     const bool overtaken = !tracker.is_newer(heartbeat);
-    heartbeatStatistics_.record_renewal(leaseBefore.age(now.steady) / settings_.leaseS, overtaken);
+    heartbeatStatistics_.record_renewal(leaseBefore.renewal_age(now.steady) / settings_.leaseS, overtaken);
     if (takenAsExpired) {
         heartbeatStatistics_.record_return_after_expiry();
         spdlog::warn(
--- a/src/leadership/cancellation_registry.cpp
+++ b/src/leadership/cancellation_registry.cpp
@@ -74,7 +74,7 @@
     if (now.steady - context_.serving_since() < kGraceHeartbeats * settings.heartbeatIntervalS) return false;
     if (tracker.state == HostState::silent || tracker.state == HostState::expired)
         // The cancellation came after the last heartbeat: the answer to that would have ended the task otherwise.
-        return tracker.lease.age(now.steady) > kReturnAfterFraction * settings.cancelS &&
+        return tracker.lease.renewal_age(now.steady) > kReturnAfterFraction * settings.cancelS &&
                std::any_of(tracker.tasks.begin(), tracker.tasks.end(), [&](const auto& entry) {
                    return entry.second.phase != wire::TaskPhase::ended && cancelled(entry.first.first);
                });
--- a/src/reconciliation/termination_proof.cpp
+++ b/src/reconciliation/termination_proof.cpp
@@ -23,6 +23,17 @@
     return {TerminationProof::Verdict::gone, kind};
 }
 
+// The record of the start of the task's present attempt; null if this leader has sent none.
+const SentStart* sent_start(const HostTracker& tracker, const TaskKey& key, const Task& task) {
+    auto start = tracker.starts.find(key);
+    return start != tracker.starts.end() && start->second.attempt == task.attempt ? &start->second : nullptr;
+}
+
+// Commands carry the agent epoch: the worker refuses one of an earlier epoch, however late it arrives.
+bool started_in_earlier_epoch(const HostTracker& tracker, const TaskKey& key, const SentStart& sent) {
+    return tracker.agentEpoch > sent.agentEpoch && !tracker.tasks.count(key);
+}
+
 }  // namespace
 
 const char* to_string(ProofKind kind) {
@@ -60,22 +71,32 @@
     HostTracker* tracker = hosts_.find(host.name);
     if (!tracker) return {};
     if (tracker->state == HostState::expired) return gone(ProofKind::lease_expired);
+    if (tracker->state == HostState::silent) return prove_by_agent_epoch(host, *tracker, ref);
     if (tracker->state != HostState::confirmed)
         return {};  // commands of an earlier leadership may still reach the host
     return prove_by_heartbeats(host, *tracker, ref);
 }
 
+TerminationProof TerminationProver::prove_by_agent_epoch(const HostRecord& host, const HostTracker& tracker,
+                                                         const TaskRef& ref) const {
+    const Task task = ref.job->task(ref.index, context_.state().chunk_size());
+    const TaskKey key{ref.job->id, ref.index};
+    if (const SentStart* sent = sent_start(tracker, key, task)) {
+        const bool refused = sent->inFlight == 0 && started_in_earlier_epoch(tracker, key, *sent);
+        return refused ? gone(ProofKind::earlier_agent_epoch) : TerminationProof{};
+    }
+    const bool startedByEarlierLeader = task.fencingToken != host.fencingToken && tracker.shows_leadership();
+    const bool absent = tracker.in_unanswered_epoch() && !tracker.tasks.count(key);
+    return startedByEarlierLeader && absent ? gone(ProofKind::earlier_fencing_token) : TerminationProof{};
+}
+
 TerminationProof TerminationProver::prove_by_heartbeats(const HostRecord& host, HostTracker& tracker,
                                                         const TaskRef& ref) const {
     const Task task = ref.job->task(ref.index, context_.state().chunk_size());
     const TaskKey key{ref.job->id, ref.index};
-    auto start = tracker.starts.find(key);
-    const bool startSent = start != tracker.starts.end() && start->second.attempt == task.attempt;
-    const SentStart* sent = startSent ? &start->second : nullptr;
+    const SentStart* sent = sent_start(tracker, key, task);
     if (sent && sent->inFlight > 0) return {};
-    // Commands carry the agent epoch: the worker refuses one of an earlier epoch, however late it arrives.
-    if (sent && tracker.agentEpoch > sent->agentEpoch && !tracker.tasks.count(key))
-        return gone(ProofKind::earlier_agent_epoch);
+    if (sent && started_in_earlier_epoch(tracker, key, *sent)) return gone(ProofKind::earlier_agent_epoch);
     if (sent && sent->unanswered >= tracker.seenToken) {
         // The start may still execute minutes later, unless the host confirms a higher fencing token first.
         tracker.needsFencing = true;
--- a/src/reconciliation/termination_proof.hpp
+++ b/src/reconciliation/termination_proof.hpp
@@ -55,6 +55,10 @@
     TerminationProof prove(const state::HostRecord& host, const state::TaskRef& ref);
 
   private:
+    // Proofs that need no recent heartbeat: the host, which has confirmed this controller's fencing token, has begun an
+    // agent epoch in which the task was not started.
+    TerminationProof prove_by_agent_epoch(const state::HostRecord& host, const workers::HostTracker& tracker,
+                                          const state::TaskRef& ref) const;
     // Requires that the host has confirmed this controller's fencing token.
     TerminationProof prove_by_heartbeats(const state::HostRecord& host, workers::HostTracker& tracker,
                                          const state::TaskRef& ref) const;
--- a/src/state/states.hpp
+++ b/src/state/states.hpp
@@ -43,7 +43,7 @@
     led,        // registered here; commands of an earlier leader may still reach it
     confirmed,  // has confirmed our fencing token and rejects commands with older ones
     silent,     // heartbeats are overdue; its lease may still be valid
-    expired,    // its lease has expired by our clock, so its tasks have terminated
+    expired,    // the lease of its newest known agent epoch has expired by our clock, so its tasks have terminated
     released,   // led by another controller or by none
 };
 struct HostTraits {
@@ -60,7 +60,7 @@
             case HostState::confirmed:
                 return from == HostState::led || from == HostState::silent || from == HostState::expired;
             case HostState::silent:
-                return from == HostState::confirmed;
+                return from == HostState::confirmed || from == HostState::expired;
             case HostState::expired:
                 return from == HostState::silent;
             case HostState::released:
--- a/src/workers/host_table.cpp
+++ b/src/workers/host_table.cpp
@@ -13,7 +13,7 @@
 }
 
 bool HostTable::is_silent(const HostTracker& host, Timestamp now) const {
-    return host.lease.age(now.steady) > silent_after();
+    return host.lease.renewal_age(now.steady) > silent_after();
 }
 
 }  // namespace wellstair::workers
--- a/src/workers/host_tracker.cpp
+++ b/src/workers/host_tracker.cpp
@@ -66,13 +66,16 @@
     update_tasks(heartbeat, nowS);
 }
 
+// The lease that was taken as expired was that of an earlier epoch.
 void HostTracker::begin_agent_epoch(std::uint64_t epoch, double nowS) {
     agentEpoch = epoch;
     agentEpochSeenS = nowS;
+    lease.begin_agent_epoch(nowS);
+    if (state == state::HostState::expired) state.transition_to(state::HostState::silent);
 }
 
 double HostTracker::since_latest_lease_end(double nowS, double leaseS) const {
-    return std::min(lease.age(nowS), nowS - agentEpochSeenS) - leaseS;
+    return std::min(lease.renewal_age(nowS), nowS - agentEpochSeenS) - leaseS;
 }
 
 // A host that receives our response sends its next heartbeat here, with the next sequence number. One that does not
--- a/src/workers/worker_lease.cpp
+++ b/src/workers/worker_lease.cpp
@@ -18,11 +18,16 @@
 bool WorkerLease::renew(const HeartbeatId& heartbeat, double nowS) {
     if (!(lastAnswered_ < heartbeat)) return false;
     lastAnswered_ = heartbeat;
-    measuredFromS_ = nowS;
+    renewedS_ = measuredFromS_ = nowS;
     return true;
 }
 
 void WorkerLease::begin(double nowS) {
+    renewedS_ = std::max(renewedS_, nowS);
+    measuredFromS_ = std::max(measuredFromS_, nowS);
+}
+
+void WorkerLease::begin_agent_epoch(double nowS) {
     measuredFromS_ = std::max(measuredFromS_, nowS);
 }
 
@@ -31,7 +36,7 @@
 }
 
 std::string WorkerLease::describe(double nowS) const {
-    return fmt::format("renewed {:.3f} s ago by heartbeat {}/{}", age(nowS), lastAnswered_.agentEpoch,
+    return fmt::format("renewed {:.3f} s ago by heartbeat {}/{}", renewal_age(nowS), lastAnswered_.agentEpoch,
                        lastAnswered_.sequence);
 }
 
--- a/src/workers/worker_lease.hpp
+++ b/src/workers/worker_lease.hpp
@@ -1,8 +1,9 @@
 // The leader's view of a worker's lease.
 //
-// A worker measures its lease from the time at which it sent the last heartbeat that was answered with 200. The leader
-// does not know that time, but it decides on the answer later. Measured from that decision, the lease can only expire
-// later than on the worker.
+// A worker measures its lease from the time at which it sent the last heartbeat that was answered with 200 or, before
+// that, from the beginning of its agent epoch (PROTOCOL, "Leases"). The leader knows neither time, but it decides on
+// the answer later than the one, and receives the first status of the epoch later than the other. Measured from these,
+// the lease can only expire later than on the worker.
 #pragma once
 
 #include <compare>
@@ -32,11 +33,16 @@
 
     // Starts measuring at the beginning of a leadership, before any heartbeat has been answered.
     void begin(double nowS);
+    // Must be called for the first status of an agent epoch, whatever message it arrives in: the worker's lease begins
+    // anew with the epoch, without a heartbeat.
+    void begin_agent_epoch(double nowS);
 
     // Whether the lease is being measured, that is, `begin` or `renew` has been called.
-    bool begun() const { return measuredFromS_ > 0; }
-    // Seconds since the lease was last renewed.
+    bool begun() const { return renewedS_ > 0; }
+    // Seconds for which the lease has been measured.
     double age(double nowS) const { return nowS - measuredFromS_; }
+    // Seconds since the last heartbeat was answered.
+    double renewal_age(double nowS) const { return nowS - renewedS_; }
     // Whether the lease has expired. Allows for the largest possible drift between the two clocks, so that it never
     // returns true before the lease has expired on the worker.
     bool expired(double nowS, double leaseS) const;
@@ -49,7 +55,8 @@
 
   private:
     HeartbeatId lastAnswered_;
-    double measuredFromS_ = kNeverS;
+    double renewedS_ = kNeverS;       // when the last heartbeat was answered
+    double measuredFromS_ = kNeverS;  // the latest time from which the worker may measure the lease
 };
 
 }  // namespace wellstair::workers
