A heartbeat with a notice that is no finite number is refused with 400

Workers saw a 503, or a 200, for a heartbeat whose reclaimS is NaN, infinite or no number: get_number gives nothing for such a value as for a missing one, so that a notice that cannot be read passed for no notice, and the host went on getting work.

The field is now absent, null or a finite number, like the names beside it; anything else makes the heartbeat malformed.

--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -169,6 +169,15 @@
     return true;
 }
 
+// Reads an optional number in a heartbeat, which stays empty if it is absent. Returns false if it is present and no
+// finite number.
+bool read_optional_number(const Json& body, const char* field, std::optional<double>& target) {
+    auto it = body.find(field);
+    if (it == body.end() || it->is_null()) return true;
+    target = get_number(body, field);
+    return target.has_value();
+}
+
 // Whether the name can be a part of a key in the state service and of a request's target.
 bool valid_key_part(std::string_view name) {
     return std::none_of(name.begin(), name.end(), [](unsigned char c) {
@@ -286,7 +295,7 @@
     heartbeat.sequence = *sequence;
     heartbeat.fencingToken = get_unsigned(body, "baton").value_or(0);
     if (heartbeat.fencingToken > kMaxFencingToken) return std::nullopt;
-    heartbeat.preemptionNoticeS = get_number(body, "reclaimS");
+    if (!read_optional_number(body, "reclaimS", heartbeat.preemptionNoticeS)) return std::nullopt;
     if (const Json* tasks = get_array(body, "steps")) {
         heartbeat.tasks.reserve(tasks->size());
         for (const Json& task : *tasks) {
--- a/tests/odd_messages_test.cpp
+++ b/tests/odd_messages_test.cpp
@@ -200,6 +200,20 @@
     EXPECT_TRUE(serves());
 }
 
+// A notice that cannot be read must not pass for no notice.
+TEST_F(OddMessages, HeartbeatsWithANoticeThatIsNoFiniteNumberAreMalformed) {
+    using Limits = std::numeric_limits<double>;
+    const Json unusable[] = {Limits::quiet_NaN(), Limits::infinity(), -Limits::infinity(), "30", true, Json::array()};
+    for (const Json& notice : unusable) {
+        Json body = heartbeat_body("n-odd");
+        body["reclaimS"] = notice;
+        ask(heartbeatApi.heartbeat(wire::encode(body)));
+    }
+    EXPECT_TRUE(all_answered());
+    expect_only(answers, {400});
+    EXPECT_TRUE(serves());
+}
+
 TEST_F(OddMessages, PathsAreAnswered) {
     for (const Json& value : odd_values()) {
         if (!value.is_string()) continue;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,6 +1,7 @@
 // Parsing and formatting of the messages of users, workers and the cloud.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <limits>
 
 #include "wire/messages.hpp"
@@ -176,7 +177,7 @@
         {"host", latin1},  {"host", tooLong}, {"host", ""},         {"address", latin1}, {"address", tooLong},
         {"address", 9000}, {"build", latin1}, {"build", tooLong},   {"hall", latin1},    {"hall", tooLong},
         {"hall", "a b"},   {"hall", "a/b"},   {"hall", "a&page=1"}, {"hall", "a\n"},     {"hall", 1},
-        {"tenure", -1},    {"tick", "88"},    {"baton", lastToken}, {"steps", {latin1}}};
+        {"tenure", -1},    {"tick", "88"},    {"baton", lastToken}, {"steps", {latin1}}, {"reclaimS", "30"}};
     for (const auto& [field, value] : invalid) {
         Json body = heartbeat_body();
         body[field] = value;
@@ -185,7 +186,12 @@
     Json body = heartbeat_body();
     body["steps"][0]["try"] = (std::uint64_t{1} << 32) + 2;  // would be taken for attempt 2
     EXPECT_FALSE(parse_heartbeat(body));
-    for (const char* field : {"address", "build", "hall", "baton", "steps"}) {
+    for (double notice : {std::nan(""), HUGE_VAL, -HUGE_VAL}) {
+        body = heartbeat_body();
+        body["reclaimS"] = notice;
+        EXPECT_FALSE(parse_heartbeat(body)) << notice;
+    }
+    for (const char* field : {"address", "build", "hall", "baton", "steps", "reclaimS"}) {
         body = heartbeat_body();
         body.erase(field);
         EXPECT_TRUE(parse_heartbeat(body)) << field;
