--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -23,7 +23,6 @@
 
 // Completion token with which errors are returned, not thrown.
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr std::chrono::milliseconds kUserIdleLimit = std::chrono::seconds(120);
 constexpr auto kWriteTimeout = std::chrono::seconds(10);
 constexpr double kAcceptRetryS = 0.05;
 constexpr int kListenBacklog = 4096;   // all machines may connect at once after an outage of all controllers
@@ -78,11 +77,11 @@
     ConnectionSlot slot;
 };
 
-Server::Server(asio::io_context& io, const config::Endpoint& endpoint, std::size_t maxConnections, double workerIdleS,
-               Handlers handlers)
+Server::Server(asio::io_context& io, const config::Endpoint& endpoint, std::size_t maxConnections,
+               IdleLimits idleLimits, Handlers handlers)
     : io_(io),
       acceptor_(io),
-      workerIdleS_(workerIdleS),
+      idleLimits_(idleLimits),
       handlers_(std::move(handlers)),
       connections_(std::make_shared<ConnectionRegistry>(maxConnections)) {
     tcp::endpoint local(asio::ip::make_address_v4(endpoint.host), endpoint.port);
@@ -156,8 +155,8 @@
 }
 
 std::chrono::milliseconds Server::idle_limit(const Connection& connection) const {
-    if (connection.slot.caller() == Caller::user) return kUserIdleLimit;
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(workerIdleS_));
+    const double limitS = connection.slot.caller() == Caller::user ? idleLimits_.userS : idleLimits_.workerS;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(limitS));
 }
 
 // Answers a request, with 500 if its handler throws.
--- a/src/api/server.hpp
+++ b/src/api/server.hpp
@@ -41,10 +41,16 @@
     std::function<bool()> healthy;  // whether health checks are to succeed
 };
 
+// Seconds after which a connection is closed on which no complete request has arrived, however slowly its bytes come.
+struct IdleLimits {
+    double userS = 120;  // also before the first request, which shows what the client is
+    double workerS = 120;
+};
+
 class Server {
   public:
-    // Binds the endpoint and listens. A worker's connection is closed after `workerIdleS` seconds without a request.
-    Server(asio::io_context& io, const config::Endpoint& endpoint, std::size_t maxConnections, double workerIdleS,
+    // Binds the endpoint and listens.
+    Server(asio::io_context& io, const config::Endpoint& endpoint, std::size_t maxConnections, IdleLimits idleLimits,
            Handlers handlers);
 
     // Starts accepting connections.
@@ -65,7 +71,7 @@
 
     asio::io_context& io_;
     asio::ip::tcp::acceptor acceptor_;
-    double workerIdleS_;
+    IdleLimits idleLimits_;
     Handlers handlers_;
     std::shared_ptr<ConnectionRegistry> connections_;  // shared with the connections, which may end later
 };
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -44,7 +44,8 @@
       periodicChecks_(context_, availability_, committer_, channels_),
       userApi_(context_, availability_, readBarrier_, userRequests_),
       heartbeatApi_(context_, availability_),
-      server_(io, settings.publicEndpoint, sockets(settings, kServerSocketShare), settings.leaseS, handlers()),
+      server_(io, settings.publicEndpoint, sockets(settings, kServerSocketShare), {.workerS = settings.leaseS},
+              handlers()),
       peerNetwork_(
           io, settings, [this](const std::string& receiver) { return peerStatus_.own_status(receiver); },
           [this](const peers::PeerStatus& status) { peerStatus_.receive(status); }) {}
--- a/tests/api_server_test.cpp
+++ b/tests/api_server_test.cpp
@@ -69,7 +69,7 @@
     bool healthy = true;
     bool handlersThrow = false;
     std::optional<api::Response> submitted;
-    api::Server server{io, {"127.0.0.1", 0}, kMaxConnections, 20, handlers()};
+    api::Server server{io, {"127.0.0.1", 0}, kMaxConnections, {.workerS = 20}, handlers()};
 };
 
 TEST_F(ApiServer, RoutesByPathAndMethod) {
