--- a/tests/trace_controller_commands.cpp
+++ b/tests/trace_controller_commands.cpp
@@ -230,6 +230,33 @@
     return commit(controller, builder);
 }
 
+std::string TraceRunner::read_machine_list(Controller& controller, std::istringstream& arguments) {
+    std::vector<wire::Machine> machines;
+    for (std::string word; arguments >> word;) {
+        const auto equals = word.find('='), colon = word.find(':');
+        wire::Machine machine;
+        machine.name = word.substr(0, equals);
+        machine.machineType = "c8";
+        machine.zone = "a";
+        machine.phase = word.substr(equals + 1, colon - equals - 1);
+        machine.ageS = std::stod(word.substr(colon + 1));
+        machines.push_back(machine);
+    }
+    controller.core->set_machines(std::move(machines), now());
+    return "";
+}
+
+std::string TraceRunner::plan_scale_out(Controller& controller, std::istringstream&) {
+    controller.core->plan_scale_out(now());
+    return "";
+}
+
+std::string TraceRunner::hosts_due_for_return(Controller& controller, std::istringstream&) {
+    std::string out;
+    for (const std::string& host : controller.core->scale_in_due(now())) out += (out.empty() ? "" : " ") + host;
+    return out.empty() ? "nothing" : out;
+}
+
 std::string TraceRunner::take_cloud_role(Controller& controller, std::istringstream&) {
     auto builder = controller.core->new_transaction();
     if (!controller.core->may_take_cloud_role()) return "taken";
--- a/tests/trace_runner.cpp
+++ b/tests/trace_runner.cpp
@@ -15,7 +15,7 @@
     static const std::map<std::string, ClusterCommand> kCommands = {
         {"controllers", &TraceRunner::add_controllers},  // NAME ...
         {"wait", &TraceRunner::wait},                    // SECONDS
-        {"expire", &TraceRunner::expire_member},         // NAME: the lease of its member key expires
+        {"expire", &TraceRunner::expire_member},         // NAME: its lease expires, and with it its keys
         {"outage", &TraceRunner::begin_outage},          // the state service refuses all controllers
         {"outage-over", &TraceRunner::end_outage},
         {"join", &TraceRunner::join},  // NAME: starts a new process of the controller
@@ -46,12 +46,15 @@
         {"target", &TraceRunner::command_target},  // NAME HOST: fencing token and agent epoch of commands sent now
         {"unanswered", &TraceRunner::drop_reply},  // NAME HOST [TOKEN]: no reply to the last commands
         {"answered", &TraceRunner::handle_reply},  // NAME HEARTBEAT: reply to the last commands
-        {"decisions", &TraceRunner::take_decision_summary},  // NAME: its counts of decisions since the last time
-        {"gone", &TraceRunner::confirm_return},              // NAME HOST: its return is confirmed
-        {"role", &TraceRunner::take_cloud_role},             // NAME
-        {"build-role", &TraceRunner::hold_cloud_role},       // NAME: `role`, transaction delayed
-        {"may-call-cloud", &TraceRunner::may_call_cloud},    // NAME
-        {"holds-role", &TraceRunner::holds_cloud_role},      // NAME
+        {"decisions", &TraceRunner::take_decision_summary},   // NAME: its counts of decisions since the last time
+        {"machines", &TraceRunner::read_machine_list},        // NAME [HOST=PHASE:AGE ...]: the cloud's list
+        {"plan-scale-out", &TraceRunner::plan_scale_out},     // NAME
+        {"due-returns", &TraceRunner::hosts_due_for_return},  // NAME
+        {"gone", &TraceRunner::confirm_return},               // NAME HOST: its return is confirmed
+        {"role", &TraceRunner::take_cloud_role},              // NAME
+        {"build-role", &TraceRunner::hold_cloud_role},        // NAME: `role`, transaction delayed
+        {"may-call-cloud", &TraceRunner::may_call_cloud},     // NAME
+        {"holds-role", &TraceRunner::holds_cloud_role},       // NAME
     };
     return kCommands;
 }
@@ -137,7 +140,12 @@
 std::string TraceRunner::expire_member(std::istringstream& arguments) {
     std::string name;
     arguments >> name;
-    write_unconditionally({{{"remove", "ws/members/" + name}}});
+    Json operations = {{{"remove", "ws/members/" + name}}};
+    // The cloud role is held under the same lease.
+    const auto role = store_.keys().find(state::keys::kCloudRole);
+    if (role != store_.keys().end() && role->second.first["by"] == name)
+        operations.push_back({{"remove", state::keys::kCloudRole}});
+    write_unconditionally(std::move(operations));
     return "";
 }
 
--- a/tests/trace_runner.hpp
+++ b/tests/trace_runner.hpp
@@ -85,6 +85,9 @@
 
     // Its calls to the cloud.
     std::string confirm_return(Controller& controller, std::istringstream& arguments);
+    std::string read_machine_list(Controller& controller, std::istringstream& arguments);
+    std::string plan_scale_out(Controller& controller, std::istringstream& arguments);
+    std::string hosts_due_for_return(Controller& controller, std::istringstream& arguments);
     std::string take_cloud_role(Controller& controller, std::istringstream& arguments);
     std::string hold_cloud_role(Controller& controller, std::istringstream& arguments);
     std::string may_call_cloud(Controller& controller, std::istringstream& arguments);
