One lookup of a start and of an observed attempt; tests share the parsing of responses and batches

"The record of this attempt's start" was looked up with the same two lines in HostCommands, HostTracker (twice) and TerminationProver, that of an observed attempt in two of them: HostTracker::find_start and find_observed. HostTracker's own function that adds a record is called find_or_add_start. The reason of a stop asks first what needs no search. Four tests parsed the response to a heartbeat and the batches of direct commands, each for itself: parse_trace_response, parse_trace_batches and TraceRequest stand beside TraceWorker now.

--- a/src/commands/host_commands.cpp
+++ b/src/commands/host_commands.cpp
@@ -38,19 +38,6 @@
     return {{command.job, command.index}, command.attempt};
 }
 
-// The host's report of this attempt; null if it reports none.
-const ObservedTask* observed_attempt(const HostTracker& tracker, const TaskAttempt& task) {
-    auto observed = tracker.tasks.find(task.task);
-    const bool reported = observed != tracker.tasks.end() && observed->second.attempt == task.attempt;
-    return reported ? &observed->second : nullptr;
-}
-
-// The record of this attempt's start; null if none was sent.
-const SentStart* sent_start(const HostTracker& tracker, const TaskAttempt& start) {
-    auto sent = tracker.starts.find(start.task);
-    return sent != tracker.starts.end() && sent->second.attempt == start.attempt ? &sent->second : nullptr;
-}
-
 bool ended(const ObservedTask& observed) {
     return observed.phase == wire::TaskPhase::ended;
 }
@@ -83,7 +70,7 @@
     if (tracker.tasks.size() != host.placed.size()) return false;
     return std::all_of(host.placed.begin(), host.placed.end(), [&](const TaskRef& ref) {
         const PlacedTask placed = placed_task(ref);
-        const ObservedTask* observed = observed_attempt(tracker, placed.id);
+        const ObservedTask* observed = tracker.find_observed(placed.id);
         return observed && !ended(*observed) && !must_stop(placed, tracker);
     });
 }
@@ -97,7 +84,7 @@
     SentStop& sent = tracker.stops[placed.id.task];
     if (sent.attempt != placed.id.attempt) sent = {placed.id.attempt, now.steady};
     if (!stops_gracefully(placed.job)) return command(CommandType::stop, placed.id);
-    const ObservedTask* observed = observed_attempt(tracker, placed.id);
+    const ObservedTask* observed = tracker.find_observed(placed.id);
     if (observed->phase == wire::TaskPhase::checkpointing) return std::nullopt;
     const double gracePeriodS = placed.job.spec->checkpointWriteS + context_.settings().heartbeatIntervalS;
     return command(CommandType::stop, placed.id, gracePeriodS);
@@ -110,7 +97,7 @@
 
 bool HostCommands::start_due(const HostTracker& tracker, const TaskAttempt& start, Channel channel,
                              Timestamp now) const {
-    const SentStart* sent = sent_start(tracker, start);
+    const SentStart* sent = tracker.find_start(start);
     if (!sent) return true;
     if (sent->seen || sent->agentEpoch != tracker.agentEpoch) return false;
     if (channel == Channel::heartbeat_response) return true;
@@ -141,7 +128,7 @@
     for (const TaskRef& ref : record->placed) {
         const PlacedTask placed = placed_task(ref);
         placedAttempts[placed.id.task] = placed.id.attempt;
-        const ObservedTask* observed = observed_attempt(*tracker, placed.id);
+        const ObservedTask* observed = tracker->find_observed(placed.id);
         const bool stop = must_stop(placed, *tracker);
         if (observed && stop && !ended(*observed)) {
             if (auto stopCommand = stop_command(placed, *tracker, now)) stops.push_back(*stopCommand);
@@ -228,13 +215,12 @@
 }
 
 StopReason HostCommands::stop_reason(const HostRecord& host, const HostTracker& tracker, const Command& stop) const {
-    const TaskAttempt stopped = task_attempt(stop);
+    if (cancellations_.cancelled(stop.job)) return StopReason::job_cancelled;
     const bool placed = std::any_of(host.placed.begin(), host.placed.end(), [&](const TaskRef& ref) {
         return ref.job->id == stop.job && ref.index == stop.index && placed_task(ref).id.attempt == stop.attempt;
     });
-    if (cancellations_.cancelled(stop.job)) return StopReason::job_cancelled;
     if (!placed) return StopReason::not_placed;
-    return tracker.evictions.count(stopped.task) ? StopReason::leaves_host : StopReason::gang_stops;
+    return tracker.evictions.count(task_attempt(stop).task) ? StopReason::leaves_host : StopReason::gang_stops;
 }
 
 // A stop is repeated until the attempt has ended, and logged once.
@@ -259,7 +245,7 @@
                                    Timestamp now) const {
     for (const Command& command : commands) {
         const TaskAttempt target = task_attempt(command);
-        const bool repeatedStart = command.type == CommandType::start && sent_start(tracker, target);
+        const bool repeatedStart = command.type == CommandType::start && tracker.find_start(target);
         if (!repeatedStart) log(command, host, tracker, Channel::heartbeat_response, now);
         if (command.type == CommandType::start) tracker.record_start_in_response(target);
     }
@@ -298,7 +284,7 @@
     for (const TaskRef& ref : host.placed) {
         if (!cancellations_.cancelled(*ref.job)) continue;
         const PlacedTask placed = placed_task(ref);
-        const SentStart* sent = sent_start(tracker, placed.id);
+        const SentStart* sent = tracker.find_start(placed.id);
         if (!sent || sent->seen || tracker.tasks.count(placed.id.task)) continue;
         commands.push_back(command(CommandType::stop, placed.id));
     }
--- a/src/reconciliation/termination_proof.cpp
+++ b/src/reconciliation/termination_proof.cpp
@@ -23,12 +23,6 @@
     return {TerminationProof::Verdict::gone, kind};
 }
 
-// The record of the start of the task's present attempt; null if this leader has sent none.
-const SentStart* sent_start(const HostTracker& tracker, const TaskKey& key, const Task& task) {
-    auto start = tracker.starts.find(key);
-    return start != tracker.starts.end() && start->second.attempt == task.attempt ? &start->second : nullptr;
-}
-
 // Commands carry the agent epoch: the worker refuses one of an earlier epoch, however late it arrives.
 bool started_in_earlier_epoch(const HostTracker& tracker, const TaskKey& key, const SentStart& sent) {
     return tracker.agentEpoch > sent.agentEpoch && !tracker.tasks.count(key);
@@ -81,7 +75,7 @@
                                                          const TaskRef& ref) const {
     const Task task = ref.job->task(ref.index, context_.state().chunk_size());
     const TaskKey key{ref.job->id, ref.index};
-    if (const SentStart* sent = sent_start(tracker, key, task)) {
+    if (const SentStart* sent = tracker.find_start({key, task.attempt})) {
         const bool refused = sent->inFlight == 0 && started_in_earlier_epoch(tracker, key, *sent);
         return refused ? gone(ProofKind::earlier_agent_epoch) : TerminationProof{};
     }
@@ -94,7 +88,7 @@
                                                         const TaskRef& ref) const {
     const Task task = ref.job->task(ref.index, context_.state().chunk_size());
     const TaskKey key{ref.job->id, ref.index};
-    const SentStart* sent = sent_start(tracker, key, task);
+    const SentStart* sent = tracker.find_start({key, task.attempt});
     if (sent && sent->inFlight > 0) return {};
     if (sent && started_in_earlier_epoch(tracker, key, *sent)) return gone(ProofKind::earlier_agent_epoch);
     if (sent && sent->unanswered >= tracker.seenToken) {
@@ -102,12 +96,10 @@
         tracker.needsFencing = true;
         return {};
     }
-    auto observed = tracker.tasks.find(key);
-    if (observed == tracker.tasks.end() || observed->second.attempt != task.attempt)
-        return prove_absent(host, tracker, *ref.job, task, sent);
-    if (observed->second.phase != wire::TaskPhase::ended) return {};
-    return observed->second.cause == wire::Cause::done ? done(ProofKind::reported_done)
-                                                       : gone(ProofKind::reported_ended);
+    const workers::ObservedTask* observed = tracker.find_observed({key, task.attempt});
+    if (!observed) return prove_absent(host, tracker, *ref.job, task, sent);
+    if (observed->phase != wire::TaskPhase::ended) return {};
+    return observed->cause == wire::Cause::done ? done(ProofKind::reported_done) : gone(ProofKind::reported_ended);
 }
 
 TerminationProof TerminationProver::prove_absent(const HostRecord& host, const HostTracker& tracker, const Job& job,
--- a/src/workers/host_tracker.cpp
+++ b/src/workers/host_tracker.cpp
@@ -11,7 +11,17 @@
     return true;
 }
 
-SentStart& HostTracker::sent_start(const TaskAttempt& start) {
+const SentStart* HostTracker::find_start(const TaskAttempt& start) const {
+    auto sent = starts.find(start.task);
+    return sent != starts.end() && sent->second.attempt == start.attempt ? &sent->second : nullptr;
+}
+
+const ObservedTask* HostTracker::find_observed(const TaskAttempt& attempt) const {
+    auto observed = tasks.find(attempt.task);
+    return observed != tasks.end() && observed->second.attempt == attempt.attempt ? &observed->second : nullptr;
+}
+
+SentStart& HostTracker::find_or_add_start(const TaskAttempt& start) {
     SentStart& sent = starts[start.task];
     if (sent.attempt == start.attempt) return sent;
     sent = {};
@@ -22,29 +32,28 @@
 }
 
 void HostTracker::record_start_in_response(const TaskAttempt& start) {
-    sent_start(start).answered = lease.last_answered();
+    find_or_add_start(start).answered = lease.last_answered();
     startsInResponse.insert(start);
 }
 
 void HostTracker::record_direct_start(const TaskAttempt& start, double nowS) {
-    SentStart& sent = sent_start(start);
+    SentStart& sent = find_or_add_start(start);
     sent.commandedS = nowS;
     ++sent.inFlight;
     directStartsUnder = fencingToken;
 }
 
 void HostTracker::record_direct_outcome(const TaskAttempt& start, bool answered, std::uint64_t fencingToken) {
-    auto sent = starts.find(start.task);
-    if (sent == starts.end() || sent->second.attempt != start.attempt) return;
-    if (sent->second.inFlight > 0) --sent->second.inFlight;
-    if (!answered) sent->second.unanswered = std::max(sent->second.unanswered, fencingToken);
+    if (!find_start(start)) return;
+    SentStart& sent = starts.at(start.task);
+    if (sent.inFlight > 0) --sent.inFlight;
+    if (!answered) sent.unanswered = std::max(sent.unanswered, fencingToken);
 }
 
 bool HostTracker::start_in_transit(const TaskAttempt& start) const {
     if (startsInResponse.count(start)) return true;
-    auto sent = starts.find(start.task);
-    if (sent == starts.end() || sent->second.attempt != start.attempt) return false;
-    return sent->second.inFlight > 0 || sent->second.unanswered >= seenToken;
+    const SentStart* sent = find_start(start);
+    return sent && (sent->inFlight > 0 || sent->unanswered >= seenToken);
 }
 
 bool HostTracker::raise_fencing_token() {
--- a/src/workers/host_tracker.hpp
+++ b/src/workers/host_tracker.hpp
@@ -117,6 +117,10 @@
     // Renews the lease with a heartbeat that is about to be answered with 200. If it returns false, the heartbeat must
     // not be answered with 200.
     bool renew_lease(const wire::Heartbeat& heartbeat, double nowS);
+    // The record of this attempt's start; null if none was sent.
+    const SentStart* find_start(const TaskAttempt& start) const;
+    // The newest status's entry of this attempt; null if it lists none.
+    const ObservedTask* find_observed(const TaskAttempt& attempt) const;
     // Records a start that is sent in the response to the newest heartbeat.
     void record_start_in_response(const TaskAttempt& start);
     // Records a start that is sent directly, in a request of which the outcome is still to come.
@@ -155,7 +159,7 @@
 
   private:
     // The record of the attempt's start, which is a new one if none has been sent.
-    SentStart& sent_start(const TaskAttempt& start);
+    SentStart& find_or_add_start(const TaskAttempt& start);
     void begin_agent_epoch(std::uint64_t epoch, double nowS);
     void count_missed_answers(const wire::Heartbeat& heartbeat, double nowS);
     void update_tasks(const wire::Heartbeat& heartbeat, double nowS);
--- a/tests/command_copies_test.cpp
+++ b/tests/command_copies_test.cpp
@@ -15,11 +15,6 @@
 namespace wellstair::test {
 namespace {
 
-struct DirectRequest {
-    std::uint64_t token = 0, epoch = 0;
-    std::vector<TraceCommand> commands;
-};
-
 // A leader and its workers, which exchange their messages without loss.
 class CopiedCommands {
   public:
@@ -56,8 +51,8 @@
     // Delivers a copy of each direct request that was executed on the host. Returns the attempts that they start.
     std::vector<TraceWorker::Attempt> deliver_copies(const std::string& host) {
         std::vector<TraceWorker::Attempt> started;
-        for (const DirectRequest& copy : executed_[host]) {
-            if (!worker(host).accepts(copy.epoch, copy.token)) continue;
+        for (const TraceRequest& copy : executed_[host]) {
+            if (!worker(host).accepts(copy)) continue;
             const auto attempts = worker(host).execute(copy.token, copy.commands);
             started.insert(started.end(), attempts.begin(), attempts.end());
             worker(host).status();
@@ -70,7 +65,7 @@
             return command.verb == "start" && TraceWorker::Attempt(command.job, command.attempt) == attempt;
         };
         const auto& requests = executed_[host];
-        const bool started = std::any_of(requests.begin(), requests.end(), [&](const DirectRequest& request) {
+        const bool started = std::any_of(requests.begin(), requests.end(), [&](const TraceRequest& request) {
             return std::any_of(request.commands.begin(), request.commands.end(), starts_attempt);
         });
         return started && !worker(host).tasks().count(attempt);
@@ -79,22 +74,14 @@
 
   private:
     void send_heartbeat(TraceWorker& worker) {
-        const std::string result = run("heartbeat a " + worker.status());
-        if (!result.starts_with("200 ")) return;
-        const auto colon = result.find(": ");
-        worker.execute(std::stoull(result.substr(4, colon - 4)), parse_trace_commands(result.substr(colon + 2)));
+        const auto response = parse_trace_response(run("heartbeat a " + worker.status()));
+        if (response) worker.execute(response->token, response->commands);
     }
 
     void send_direct_commands() {
-        const std::string due = run("due a");
-        if (due == "nothing") return;
-        std::istringstream batches(due);
-        for (std::string batch; std::getline(batches, batch, ';');) {
-            const auto begin = batch.find_first_not_of(' '), colon = batch.find(": ");
-            const std::string host = batch.substr(begin, colon - begin);
-            DirectRequest request{0, 0, parse_trace_commands(batch.substr(colon + 2))};
-            std::istringstream(run("target a " + host)) >> request.token >> request.epoch;
-            if (worker(host).accepts(request.epoch, request.token)) {
+        for (const auto& [host, commands] : parse_trace_batches(run("due a"))) {
+            const TraceRequest request = make_trace_request(run("target a " + host), commands);
+            if (worker(host).accepts(request)) {
                 worker(host).execute(request.token, request.commands);
                 executed_[host].push_back(request);
             }
@@ -104,7 +91,7 @@
 
     TraceRunner runner_;
     std::map<std::string, TraceWorker> workers_;
-    std::map<std::string, std::vector<DirectRequest>> executed_;  // direct requests, by host
+    std::map<std::string, std::vector<TraceRequest>> executed_;  // direct requests, by host
     std::string steps_;
 };
 
--- a/tests/command_delivery_test.cpp
+++ b/tests/command_delivery_test.cpp
@@ -27,14 +27,13 @@
 constexpr const char* kHost = "n-1";
 
 struct Response {
-    std::uint64_t sequence, token;
-    std::vector<TraceCommand> commands;
+    std::uint64_t sequence;
+    TraceResponse content;
 };
 
 struct DirectRequest {
-    std::uint64_t epoch, token;
+    TraceRequest content;
     double sentS;
-    std::vector<TraceCommand> commands;
     bool executed = false;
     std::string reply;  // the status after the commands; empty: not executed
 };
@@ -169,10 +168,8 @@
         const std::uint64_t sequence = sequence_of(*heartbeat_);
         const std::string result = run("heartbeat a " + *heartbeat_);
         heartbeat_.reset();
-        if (result.starts_with("200 ")) {
-            const auto colon = result.find(':');
-            response_ = {sequence, std::stoull(result.substr(4, colon - 4)),
-                         parse_trace_commands(result.substr(colon + 2))};
+        if (auto response = parse_trace_response(result)) {
+            response_ = {sequence, std::move(*response)};
         } else if (awaited_ == sequence) {
             awaited_.reset();
         }
@@ -191,26 +188,22 @@
         const Response response = *response_;
         response_.reset();
         const bool waiting = awaited_ == response.sequence && nowS_ - heartbeatSentS_ < kHeartbeatTimeoutS;
-        if (!waiting || response.token < worker_.token()) return;
+        if (!waiting || response.content.token < worker_.token()) return;
         leaseFromS_ = heartbeatSentS_;
         awaited_.reset();
-        execute(response.token, response.commands);
+        execute(response.content.token, response.content.commands);
     }
 
     void send_direct() {
         if (direct_) return;
-        const std::string result = run("due a");
-        if (result == "nothing") return;
-        const auto colon = result.find(": ");
-        std::istringstream target(run("target a n-1"));
-        DirectRequest request{0, 0, nowS_, parse_trace_commands(result.substr(colon + 2)), false, ""};
-        target >> request.token >> request.epoch;
-        direct_ = request;
+        auto batches = parse_trace_batches(run("due a"));
+        if (batches.empty()) return;
+        direct_ = {make_trace_request(run("target a n-1"), std::move(batches[0].commands)), nowS_, false, ""};
     }
 
     void execute(const DirectRequest& request) {
-        if (!worker_.accepts(request.epoch, request.token)) return;
-        execute(request.token, request.commands);
+        if (!worker_.accepts(request.content)) return;
+        execute(request.content.token, request.content.commands);
         if (copies_ != Copies::none) executed_.push_back(request);
     }
 
@@ -224,7 +217,7 @@
     void finish_direct() {
         if (!direct_) return;
         if (nowS_ - direct_->sentS > kCommandTimeoutS) {
-            run("unanswered a n-1 " + std::to_string(direct_->token));
+            run("unanswered a n-1 " + std::to_string(direct_->content.token));
             if (!direct_->executed) late_.push_back(*direct_);
         } else if (direct_->executed) {
             run("answered a " + direct_->reply);
@@ -245,7 +238,7 @@
     void deliver_copy() {
         if (executed_.empty()) return;
         const DirectRequest copy = executed_[below(static_cast<int>(executed_.size()))];
-        if (worker_.accepts(copy.epoch, copy.token)) execute(copy.token, copy.commands);
+        if (worker_.accepts(copy.content)) execute(copy.content.token, copy.content.commands);
         worker_.status();
     }
 
--- a/tests/held_up_start_test.cpp
+++ b/tests/held_up_start_test.cpp
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <optional>
-#include <sstream>
 #include <string>
 
 #include "site_settings.hpp"
@@ -49,8 +48,8 @@
         for (int i = 0; i < kExchangesUntilConfirmed; ++i) exchange();
         run("submit a j-1");
         run("round a");
-        std::istringstream(run("target a n-1")) >> token_ >> epoch_;
-        start_ = parse_trace_commands(run("command a n-1"));
+        const std::string target = run("target a n-1");
+        start_ = make_trace_request(target, parse_trace_commands(run("command a n-1")));
         run("unanswered a n-1");
         run("sync b");
         run("cancel b j-1");
@@ -59,7 +58,7 @@
         nowS_ = 0;
     }
 
-    bool start_sent() const { return start_.size() == 1 && start_[0].verb == "start"; }
+    bool start_sent() const { return start_.commands.size() == 1 && start_.commands[0].verb == "start"; }
 
     // Whether the machine executed the start, and what was wrong; nothing if all was right.
     struct Outcome {
@@ -73,8 +72,8 @@
         for (bool arrived = false; nowS_ <= std::max(arrivalS, cancelS) + 2 * kStepS;) {
             if (!arrived && nowS_ >= arrivalS && !hung()) {
                 arrived = true;
-                outcome.executed = worker_.accepts(epoch_, token_);
-                if (outcome.executed) worker_.execute(token_, start_);
+                outcome.executed = worker_.accepts(start_);
+                if (outcome.executed) worker_.execute(start_.token, start_.commands);
                 if (outcome.executed && nowS_ > cancelS) outcome.wrong = "starts";
             }
             if (nowS_ > cancelS && worker_.runs({"j-1", 1})) outcome.wrong = "runs";
@@ -136,26 +135,22 @@
         nextHeartbeatS_ = nowS_ + kHeartbeatIntervalS;
         const std::string status = worker_.status();
         if (mute()) return;
-        const std::string result = run("heartbeat " + leader() + " " + status);
-        if (!result.starts_with("200 ") || deaf()) return;
-        const auto colon = result.find(": ");
-        const std::uint64_t token = std::stoull(result.substr(4, colon - 4));
-        if (token < worker_.token()) return;
-        if (token > worker_.token()) nextHeartbeatS_ = nowS_ + kStepS;
+        const auto response = parse_trace_response(run("heartbeat " + leader() + " " + status));
+        if (!response || deaf() || response->token < worker_.token()) return;
+        if (response->token > worker_.token()) nextHeartbeatS_ = nowS_ + kStepS;
         leaseFromS_ = sentS;
-        worker_.execute(token, parse_trace_commands(result.substr(colon + 2)));
+        worker_.execute(response->token, response->commands);
     }
 
     void send_direct_commands() {
-        const std::string due = run("due " + leader());
-        if (due == "nothing") return;
+        const auto batches = parse_trace_batches(run("due " + leader()));
+        if (batches.empty()) return;
         if (hung() || deaf()) {
             run("unanswered " + leader() + " n-1");
             return;
         }
-        std::uint64_t token = 0, epoch = 0;
-        std::istringstream(run("target " + leader() + " n-1")) >> token >> epoch;
-        if (worker_.accepts(epoch, token)) worker_.execute(token, parse_trace_commands(due.substr(due.find(": ") + 2)));
+        const TraceRequest request = make_trace_request(run("target " + leader() + " n-1"), batches[0].commands);
+        if (worker_.accepts(request)) worker_.execute(request.token, request.commands);
         run("answered " + leader() + " " + worker_.status());
     }
 
@@ -164,8 +159,7 @@
     std::string steps_;
     TraceWorker worker_{"n-1"};
     double nowS_ = -100, leaseFromS_ = -100, nextHeartbeatS_ = -100;
-    std::uint64_t token_ = 0, epoch_ = 0;  // of the start that is held up
-    std::vector<TraceCommand> start_;
+    TraceRequest start_;  // held up
 };
 
 class HeldUpStartOfACancelledJob : public testing::TestWithParam<Event> {};
--- a/tests/late_machines_test.cpp
+++ b/tests/late_machines_test.cpp
@@ -75,24 +75,16 @@
 
     void send_heartbeat(const std::string& host, TraceWorker& worker) {
         lastHeartbeatS[host] = nowS;
-        const std::string result = run("heartbeat " + leader + " " + worker.status());
-        if (!result.starts_with("200 ")) return;
-        const auto colon = result.find(": ");
-        worker.execute(std::stoull(result.substr(4, colon - 4)), parse_trace_commands(result.substr(colon + 2)));
+        const auto response = parse_trace_response(run("heartbeat " + leader + " " + worker.status()));
+        if (response) worker.execute(response->token, response->commands);
     }
     void send_direct_commands() {
-        const std::string due = run("due " + leader);
-        if (due == "nothing") return;
-        std::istringstream batches(due);
-        for (std::string batch; std::getline(batches, batch, ';');) {
-            const auto begin = batch.find_first_not_of(' '), colon = batch.find(": ");
-            const std::string host = batch.substr(begin, colon - begin);
-            std::uint64_t token = 0, epoch = 0;
-            std::istringstream(run("target " + leader + " " + host)) >> token >> epoch;
+        for (const auto& [host, commands] : parse_trace_batches(run("due " + leader))) {
+            const TraceRequest request = make_trace_request(run("target " + leader + " " + host), commands);
             TraceWorker& worker = workers.at(host);
-            for (const TraceCommand& command : parse_trace_commands(batch.substr(colon + 2)))
+            for (const TraceCommand& command : commands)
                 if (command.verb == "start") placedAttempts[command.job] = command.attempt;
-            if (worker.accepts(epoch, token)) worker.execute(token, parse_trace_commands(batch.substr(colon + 2)));
+            if (worker.accepts(request)) worker.execute(request.token, request.commands);
             run("answered " + leader + " " + worker.status());
         }
     }
--- a/tests/trace_worker.cpp
+++ b/tests/trace_worker.cpp
@@ -1,6 +1,7 @@
 #include "trace_worker.hpp"
 
 #include <sstream>
+#include <utility>
 
 namespace wellstair::test {
 
@@ -21,6 +22,31 @@
     return commands;
 }
 
+std::optional<TraceResponse> parse_trace_response(const std::string& result) {
+    constexpr std::string_view kAnswered = "200 ";
+    if (!result.starts_with(kAnswered)) return std::nullopt;
+    const auto colon = result.find(':');
+    return TraceResponse{std::stoull(result.substr(kAnswered.size(), colon - kAnswered.size())),
+                         parse_trace_commands(result.substr(colon + 2))};
+}
+
+std::vector<TraceBatch> parse_trace_batches(const std::string& due) {
+    std::vector<TraceBatch> batches;
+    if (due == "nothing") return batches;
+    std::istringstream parts(due);
+    for (std::string part; std::getline(parts, part, ';');) {
+        const auto begin = part.find_first_not_of(' '), colon = part.find(": ");
+        batches.push_back({part.substr(begin, colon - begin), parse_trace_commands(part.substr(colon + 2))});
+    }
+    return batches;
+}
+
+TraceRequest make_trace_request(const std::string& target, std::vector<TraceCommand> commands) {
+    TraceRequest request{0, 0, std::move(commands)};
+    std::istringstream(target) >> request.token >> request.epoch;
+    return request;
+}
+
 std::string TraceWorker::status() {
     std::string line =
         host_ + " " + std::to_string(epoch_) + " " + std::to_string(++sequence_) + " " + std::to_string(token_);
--- a/tests/trace_worker.hpp
+++ b/tests/trace_worker.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +22,32 @@
 // Parses the commands of a heartbeat response or a direct request.
 std::vector<TraceCommand> parse_trace_commands(const std::string& text);
 
+// The response of 200 to a heartbeat.
+struct TraceResponse {
+    std::uint64_t token = 0;
+    std::vector<TraceCommand> commands;
+};
+
+// Parses the result of a `heartbeat` command. Returns nothing if the heartbeat was not answered with 200.
+std::optional<TraceResponse> parse_trace_response(const std::string& result);
+
+// A direct request, as a `due` or `command` and a `target` command show it.
+struct TraceRequest {
+    std::uint64_t token = 0, epoch = 0;
+    std::vector<TraceCommand> commands;
+};
+
+// One batch of a `due` command: the host, and its commands.
+struct TraceBatch {
+    std::string host;
+    std::vector<TraceCommand> commands;
+};
+
+// Parses the result of a `due` command.
+std::vector<TraceBatch> parse_trace_batches(const std::string& due);
+// The request that delivers these commands now. `target` is the result of a `target` command.
+TraceRequest make_trace_request(const std::string& target, std::vector<TraceCommand> commands);
+
 class TraceWorker {
   public:
     using Attempt = std::pair<std::string, int>;  // job, attempt
@@ -31,6 +58,7 @@
     std::string status();
     // Whether a direct request is executed: its agent epoch is the present one, and no higher token has been seen.
     bool accepts(std::uint64_t epoch, std::uint64_t token) const { return epoch == epoch_ && token >= token_; }
+    bool accepts(const TraceRequest& request) const { return accepts(request.epoch, request.token); }
     // Executes the commands of an accepted message and returns the attempts that it has started.
     std::vector<Attempt> execute(std::uint64_t token, const std::vector<TraceCommand>& commands);
     // Begins the next agent epoch without tasks, as when the lease expires.
