--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -25,6 +25,15 @@
     EXPECT_EQ(decoded->cancelled, sent.cancelled);
 }
 
+// A name that fills its field without the final zero, which no sender writes, must not be accepted as it is.
+TEST(Peers, WhatIsUnpackedCanBePackedAgain) {
+    constexpr std::size_t kMemberOffset = sizeof(PacketHeader) - sizeof(PacketHeader::member);
+    std::string bytes = pack({"b", 1, 0, true, {}});
+    bytes.replace(kMemberOffset, sizeof(PacketHeader::member), std::string(sizeof(PacketHeader::member), 'x'));
+    const auto decoded = unpack(bytes);
+    EXPECT_TRUE(!decoded || unpack(pack(*decoded))->member == decoded->member);
+}
+
 // The barrier advances to the time of the newest request that all other controllers have acknowledged.
 TEST(Peers, ReadBarrierFollowsTheSlowestAcknowledgement) {
     wellstair::leadership::CancellationReadBarrier readBarrier(100);
