--- a/src/workers/worker_lease.hpp
+++ b/src/workers/worker_lease.hpp
@@ -6,9 +6,9 @@
 // the lease can only expire later than on the worker.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "common/timestamp.hpp"
 
@@ -17,7 +17,10 @@
 // Identifies a heartbeat of one host. The larger of two is the newer one.
 struct HeartbeatId {
     std::uint64_t agentEpoch = 0, sequence = 0;
-    auto operator<=>(const HeartbeatId&) const = default;
+    bool operator==(const HeartbeatId&) const = default;
+    bool operator<(const HeartbeatId& other) const {
+        return std::tie(agentEpoch, sequence) < std::tie(other.agentEpoch, other.sequence);
+    }
 };
 
 class WorkerLease {
